Add the gateway: endpoints called directly on the users' platform (first thin path)

Change: platform/ decodes and encodes the wire; the library gains routes, fleet quota, retry budget, endpoint directory and health, part locations, choosers, order lease and weight rollout; gateway/ is the thin daemon.

--- /dev/null
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/FleetState.kt
@@ -0,0 +1,107 @@
+package org.celerywalk.gateway
+
+import org.celerywalk.account.FleetQuota
+import org.celerywalk.cache.PartLocations
+import org.celerywalk.endpoint.EndpointDirectory
+import org.celerywalk.fleet.AccountDefinition
+import org.celerywalk.fleet.FleetConfiguration
+import org.celerywalk.key.AccountKeys
+import org.celerywalk.key.StoreConfirmation
+import org.celerywalk.limit.RetryBudget
+import org.celerywalk.route.RouteTable
+import org.celerywalk.routing.FleetLoads
+import org.celerywalk.weights.NamedWeights
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+/** Holds a configuration in force with its look-up tables. */
+internal class ActiveConfiguration(val configuration: FleetConfiguration) {
+    val routes = RouteTable(configuration.routes)
+    val keys = configuration.accounts?.let(::AccountKeys)
+
+    /** Store of kept KV cache, if the fleet has one. */
+    val cacheStore = configuration.services.values.firstNotNullOfOrNull { it.cacheStore }
+}
+
+/** Holds weights with the time at which this process learned of them. */
+internal class ObservedWeights(val weights: NamedWeights, val observedAt: ComparableTimeMark)
+
+/** Holds all that a gateway process believes about the fleet. */
+internal class FleetState(
+    val settings: GatewaySettings,
+    val timeSource: TimeSource.WithComparableMarks,
+    private val members: () -> Int,
+    private val quotaShare: () -> Double,
+) {
+    @Volatile
+    var active: ActiveConfiguration? = null
+        private set
+
+    val confirmation = StoreConfirmation()
+    val directory = EndpointDirectory(timeSource, REGISTRY_OUTAGE, REGISTRATIONS_RETURN)
+    val loads = FleetLoads(timeSource)
+    val locations = PartLocations(timeSource, PARTS_ASSUMED)
+    val quotas = ConcurrentHashMap<String, FleetQuota>()
+    private val budgets = ConcurrentHashMap<String, RetryBudget>()
+    private val named = ConcurrentHashMap<String, ObservedWeights>()
+
+    /** Newest weights of each model. */
+    val weights: Collection<ObservedWeights> get() = named.values
+
+    /** Puts [configuration] in force unless a newer one is; returns true if it did. */
+    @Synchronized
+    fun adopt(configuration: FleetConfiguration): Boolean {
+        val current = active
+        if (current != null && current.configuration.version >= configuration.version) return false
+        configuration.accounts.orEmpty().forEach(::configureQuota)
+        active = ActiveConfiguration(configuration)
+        return true
+    }
+
+    /** Records the newest weights of a model; returns true if they are news. */
+    fun name(weights: NamedWeights): Boolean {
+        val known = named[weights.model]
+        if (known != null && known.weights.version >= weights.version) return false
+        named[weights.model] = ObservedWeights(weights, timeSource.markNow())
+        return true
+    }
+
+    fun weightsOf(model: String): ObservedWeights? = named[model]
+
+    fun quotaOf(account: String): FleetQuota =
+        quotas.computeIfAbsent(account) { FleetQuota(timeSource, quotaShare) }
+
+    fun budgetOf(service: String): RetryBudget = budgets.computeIfAbsent(service) {
+        val bounds = settings.bounds
+        // The allowance beyond the ratio is shared out among the gateways.
+        RetryBudget(timeSource, bounds.retryWindow, bounds.retryRatio * RATIO_USED) {
+            bounds.retryAllowance / members().coerceAtLeast(MIN_GATEWAYS)
+        }
+    }
+
+    private fun configureQuota(account: AccountDefinition) {
+        val startLevel = if (settings.firstStart) 1.0 else RESTART_LEVEL
+        val rate = account.rate * (1 + settings.bounds.quotaOverage * OVERAGE_USED)
+        quotaOf(account.name).configure(rate, account.burst, startLevel)
+    }
+
+    private companion object {
+        // The registry is read every second.
+        val REGISTRY_OUTAGE = 2500.milliseconds
+        val REGISTRATIONS_RETURN = 2500.milliseconds
+
+        // Events tell of parts within a few hundred milliseconds after a prompt was read.
+        val PARTS_ASSUMED = 2.seconds
+
+        // Requests of this process and of the whole service are counted in windows that do not coincide.
+        const val RATIO_USED = 0.9
+        const val MIN_GATEWAYS = 6
+
+        // What was used before a restart is not known.
+        const val RESTART_LEVEL = 0.4
+        const val OVERAGE_USED = 0.3
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
@@ -0,0 +1,114 @@
+package org.celerywalk.gateway
+
+import okhttp3.ConnectionPool
+import okhttp3.OkHttpClient
+import org.celerywalk.instance.SuspendAwareTimeSource
+import org.celerywalk.platform.wire.PlatformCalls
+import org.celerywalk.platform.wire.PlatformTable
+import org.celerywalk.platform.wire.ReplicaCalls
+import org.celerywalk.routing.ModelReplicaChooser
+import org.celerywalk.routing.ServiceEndpointChooser
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.locks.LockSupport
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Runs a gateway: serves callers and calls endpoints directly. */
+public class GatewayDaemon(private val settings: GatewaySettings) {
+    private val log = EventLog(settings.instance)
+    private val metrics = GatewayMetrics()
+    private val timeSource = SuspendAwareTimeSource()
+    private val calls = PlatformCalls(controlClient())
+    private val table = PlatformTable(calls, settings.store.toString())
+    private val replicas = ReplicaCalls(calls)
+    private val membership = Membership(settings, table, timeSource, log)
+    private val state = FleetState(settings, timeSource, membership::count, membership::quotaShare)
+    private val peers = PeerExchange(state, membership, log)
+    private val weights = WeightsDuty(
+        state, OrderLeaseKeeper(settings, table, timeSource, log), replicas, log, peers::tellSoon,
+    )
+    private val store = StoreDuties(state, table, log, weights::runSoon)
+    private val cacheEvents = CacheEventDuties(state, replicas, log)
+    private val handler = RequestHandler(state, forwardingParts(), log, metrics)
+    private val server = GatewayServer(settings, handler, Pages())
+
+    @Volatile
+    private var stopping = false
+
+    /** Starts everything; the process reports that it is ready once it knows the fleet. */
+    public fun start() {
+        log.write("start", "data_centre" to settings.dataCentre, "callers" to settings.callers)
+        metrics.gauge("celerywalk.requests.open") { handler.open }
+        metrics.gauge("celerywalk.log.dropped") { log.droppedLines }
+        metrics.gauge("celerywalk.confirmation.age.ms") { state.confirmation.age()?.inWholeMilliseconds ?: -1 }
+        store.start()
+        membership.start()
+        server.start()
+        peers.start()
+        cacheEvents.start()
+        weights.start()
+        log.write("listening")
+    }
+
+    /** Reports that the process is not ready, serves what it has, and ends before the stop grace has passed. */
+    public fun stop() {
+        log.write("stop", "open" to handler.open)
+        stopping = true
+        handler.stopping = true
+        weights.close()
+        membership.leave()
+        val stoppedAt = timeSource.markNow()
+        val latest = settings.bounds.stopGrace - STOP_MARGIN
+        while (stoppedAt.elapsedNow() < latest && (stoppedAt.elapsedNow() < BALANCER_NOTICES || handler.open > 0)) {
+            pause(STOP_CHECK)
+        }
+        log.write("stopped", "open" to handler.open, "after" to stoppedAt.elapsedNow())
+        log.close()
+    }
+
+    private fun pause(time: Duration) = LockSupport.parkNanos(time.inWholeNanoseconds)
+
+    private fun forwardingParts() = ForwardingParts(
+        state,
+        EndpointClient(),
+        replicas,
+        GenerationPlacement(
+            state,
+            ModelReplicaChooser(state.loads, state.locations, settings.dataCentre, settings.prefillTokensPerMilli),
+            log,
+        ),
+        ServiceEndpointChooser(state.loads, settings.dataCentre),
+        log,
+        metrics,
+        Random.Default,
+    )
+
+    private fun controlClient() = OkHttpClient.Builder()
+        .connectionPool(ConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_SECONDS, TimeUnit.SECONDS))
+        .retryOnConnectionFailure(false)
+        .followRedirects(false)
+        .connectTimeout(CONNECT_TIMEOUT.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        .readTimeout(0, TimeUnit.MILLISECONDS)
+        .build()
+
+    private inner class Pages : GatewayPages {
+        override fun ready(): Boolean = !stopping && state.active != null && store.registryRead &&
+            state.confirmation.isWithin(settings.bounds.keyWithdrawal - READY_MARGIN)
+
+        override fun metrics(): String = metrics.scrape()
+    }
+
+    private companion object {
+        const val MAX_IDLE_CONNECTIONS = 48
+        const val IDLE_SECONDS = 5L
+        val CONNECT_TIMEOUT = 400.milliseconds
+        val READY_MARGIN = 300.milliseconds
+
+        // The balancer checks once a second and needs two misses.
+        val BALANCER_NOTICES = 3.seconds
+        val STOP_MARGIN = 1.seconds
+        val STOP_CHECK = 50.milliseconds
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewaySettingsFile.kt
@@ -0,0 +1,85 @@
+package org.celerywalk.gateway
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import com.fasterxml.jackson.core.JsonProcessingException
+import com.fasterxml.jackson.databind.JsonNode
+import com.fasterxml.jackson.databind.ObjectMapper
+import com.fasterxml.jackson.dataformat.yaml.YAMLFactory
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Loads and checks the settings file of a gateway; every fault of a file is reported at once. */
+public object GatewaySettingsFile {
+    /** Loads the settings at [path], or returns what is wrong with each key. */
+    public fun load(path: Path): Either<List<String>, GatewaySettings> = try {
+        parse(Files.readString(path))
+    } catch (e: IOException) {
+        listOf("$path: cannot be read: ${e.message}").left()
+    }
+
+    /** Parses the YAML [text] of a settings file. */
+    public fun parse(text: String): Either<List<String>, GatewaySettings> = try {
+        val reader = Reader(ObjectMapper(YAMLFactory()).readTree(text))
+        val settings = reader.settings()
+        if (reader.faults.isEmpty()) settings.right() else reader.faults.left()
+    } catch (e: JsonProcessingException) {
+        listOf("not YAML: ${e.originalMessage}").left()
+    }
+
+    private class Reader(private val root: JsonNode) {
+        val faults = mutableListOf<String>()
+
+        fun settings() = GatewaySettings(
+            instance = text("instance"),
+            dataCentre = text("data-centre"),
+            firstStart = root.path("first-start").asBoolean(),
+            callers = address("listen.callers"),
+            readiness = address("listen.readiness"),
+            metrics = address("listen.metrics"),
+            peerPort = number("peer-port").toInt(),
+            store = address("store"),
+            prefillTokensPerMilli = number("prefill-tokens-per-ms"),
+            bounds = GatewayBounds(
+                keyWithdrawal = millis("bounds.key-withdrawal-ms"),
+                stopGrace = number("bounds.stop-grace-s").seconds,
+                retryRatio = number("bounds.retry-ratio"),
+                retryWindow = number("bounds.retry-window-s").seconds,
+                retryAllowance = number("bounds.retry-allowance").toInt(),
+                orderLease = millis("bounds.order-lease-ms"),
+                weightsDeadline = millis("bounds.weights-deadline-ms"),
+                quotaOverage = number("bounds.quota-overage"),
+            ),
+        )
+
+        private fun at(key: String): JsonNode = key.split('.').fold(root) { node, name -> node.path(name) }
+
+        private fun text(key: String): String {
+            val value = at(key).takeIf { it.isValueNode }?.asText().orEmpty()
+            if (value.isBlank()) faults += "$key: missing; expected text"
+            return value
+        }
+
+        private fun number(key: String): Double {
+            val value = at(key).takeIf { it.isNumber }?.asDouble()
+            if (value == null || value < 0) faults += "$key: '${at(key).asText()}'; expected a number of 0 or more"
+            return value ?: 0.0
+        }
+
+        private fun millis(key: String): Duration = number(key).milliseconds
+
+        private fun address(key: String): SocketAddress {
+            val value = text(key)
+            val port = value.substringAfterLast(':', "").toIntOrNull()
+            if (port == null || port !in PORTS) faults += "$key: '$value'; expected HOST:PORT"
+            return SocketAddress(value.substringBeforeLast(':'), port ?: 0)
+        }
+    }
+
+    private val PORTS = 0..65_535
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/PeerExchange.kt
@@ -0,0 +1,168 @@
+package org.celerywalk.gateway
+
+import com.fasterxml.jackson.core.JsonProcessingException
+import com.fasterxml.jackson.databind.JsonNode
+import com.fasterxml.jackson.databind.ObjectMapper
+import org.celerywalk.routing.Work
+import java.io.IOException
+import java.net.DatagramPacket
+import java.net.DatagramSocket
+import java.net.InetAddress
+import java.net.InetSocketAddress
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Exchanges beliefs with the other gateways over UDP: admitted quota, work at endpoints, weights versions and how
+ * recently the store was read.
+ *
+ * Every message repeats the whole state, so a lost one needs no repetition.
+ */
+internal class PeerExchange(
+    private val state: FleetState,
+    private val membership: Membership,
+    private val log: EventLog,
+) : AutoCloseable {
+    private val json = ObjectMapper()
+    private val socket = DatagramSocket(InetSocketAddress(state.settings.callers.host, state.settings.peerPort))
+    private val sender = PeriodicDuty("peers-send", SEND_PERIOD, log, ::send)
+    private val receiver = Thread(::receive, "peers-receive").apply { isDaemon = true }
+
+    // When each of this process's latest messages was sent, by number.
+    private val sentAt = LinkedHashMap<Long, ComparableTimeMark>()
+    private val lastHeard = ConcurrentHashMap<String, Long>()
+    private var number = 0L
+
+    @Volatile
+    private var open = true
+
+    fun start() {
+        receiver.start()
+        sender.start()
+    }
+
+    /** Tells the others soon about a change that they should act on. */
+    fun tellSoon() {
+        sender.runSoon()
+    }
+
+    override fun close() {
+        open = false
+        sender.close()
+        socket.close()
+    }
+
+    private fun send() {
+        val peers = membership.others()
+        if (peers.isEmpty()) return
+        val message = json.writeValueAsBytes(message())
+        peers.forEach { peer ->
+            try {
+                socket.send(DatagramPacket(message, message.size, InetAddress.getByName(peer.host), peer.port))
+            } catch (e: IOException) {
+                log.write("peer_send_failed", "peer" to peer, "cause" to e.message)
+            }
+        }
+    }
+
+    private fun message(): JsonNode {
+        val root = json.createObjectNode().put(NAME, state.settings.instance)
+        synchronized(sentAt) {
+            number++
+            sentAt[number] = state.timeSource.markNow()
+            if (sentAt.size > REMEMBERED_MESSAGES) sentAt.remove(sentAt.keys.first())
+            root.put(NUMBER, number)
+        }
+        val heard = root.putObject(HEARD)
+        lastHeard.forEach { (peer, last) -> heard.put(peer, last) }
+        state.active?.let { root.put(CONFIGURATION, it.configuration.version) }
+        state.confirmation.age()?.let { root.put(CONFIRMED, it.inWholeMilliseconds + 1) }
+        val quotas = root.putObject(QUOTAS)
+        state.quotas.forEach { (account, quota) -> quotas.put(account, quota.admittedTotal.toLong()) }
+        val work = root.putObject(WORK)
+        val versions = root.putObject(VERSIONS)
+        val models = state.weights.map { it.weights.model }
+        state.loads.all().forEach { (endpoint, load) ->
+            val own = load.ownWork
+            if (own.calls > 0) work.putArray(endpoint).add(own.calls).add(own.unreadTokens).add(own.cacheTokens)
+            models.forEach { model ->
+                load.version(model)?.let { version -> versions.withObjectProperty(endpoint).put(model, version) }
+            }
+        }
+        val changing = root.putArray(CHANGING)
+        state.loads.all().filterValues { it.ordered }.keys.forEach { changing.add(it) }
+        return root
+    }
+
+    private fun receive() {
+        val buffer = ByteArray(MAX_MESSAGE_BYTES)
+        while (open) {
+            val packet = DatagramPacket(buffer, buffer.size)
+            try {
+                socket.receive(packet)
+                val root = json.readTree(buffer, 0, packet.length)
+                if (root.path(NAME).isTextual) apply(root)
+            } catch (e: JsonProcessingException) {
+                log.write("peer_message_unreadable", "peer" to packet.address, "cause" to e.originalMessage)
+            } catch (e: IOException) {
+                if (open) log.write("peer_receive_failed", "cause" to e.message)
+            }
+        }
+    }
+
+    private fun apply(root: JsonNode) {
+        val peer = root.path(NAME).asText()
+        lastHeard[peer] = root.path(NUMBER).asLong()
+        membership.heard(peer)
+        root.path(QUOTAS).properties().forEach { (account, total) ->
+            state.quotaOf(account).reported(peer, total.asDouble())
+        }
+        val work = root.path(WORK)
+        state.loads.all().forEach { (endpoint, load) ->
+            val reported = work.path(endpoint)
+            if (reported.isArray) {
+                load.reported(peer, Work(reported[0].asInt(), reported[1].asLong(), reported[2].asLong()))
+            } else {
+                load.reported(peer, Work())
+            }
+        }
+        root.path(VERSIONS).properties().forEach { (endpoint, models) ->
+            val load = state.loads.all()[endpoint]
+            if (load != null) models.properties().forEach { (model, version) -> load.sawVersion(model, version.asInt()) }
+        }
+        root.path(CHANGING).forEach { state.loads.all()[it.asText()]?.startedWeightChange(CHANGE_REPORT_HOLDS) }
+        confirm(root)
+    }
+
+    /**
+     * A peer's confirmation counts for the same version of the configuration. The peer sent this message after it had
+     * heard the message that it names, so its reading of the store is at least as recent as that message less its age.
+     */
+    private fun confirm(root: JsonNode) {
+        val age = root.path(CONFIRMED)
+        val heard = synchronized(sentAt) { sentAt[root.path(HEARD).path(state.settings.instance).asLong()] }
+        val same = root.path(CONFIGURATION).asLong() == state.active?.configuration?.version
+        if (age.isIntegralNumber && heard != null && same) {
+            state.confirmation.confirm(heard - age.asLong().milliseconds)
+        }
+    }
+
+    private companion object {
+        const val NAME = "name"
+        const val NUMBER = "number"
+        const val HEARD = "heard"
+        const val CONFIGURATION = "configuration"
+        const val CONFIRMED = "confirmed"
+        const val QUOTAS = "quotas"
+        const val WORK = "work"
+        const val VERSIONS = "versions"
+        const val CHANGING = "changing"
+        const val MAX_MESSAGE_BYTES = 60_000
+        const val REMEMBERED_MESSAGES = 64
+
+        // An account that sends many times its rate must not get far beyond its burst before all gateways know.
+        val SEND_PERIOD = 150.milliseconds
+        val CHANGE_REPORT_HOLDS = 400.milliseconds
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/WatchedEndPoint.kt
@@ -0,0 +1,138 @@
+package org.celerywalk.gateway
+
+import org.eclipse.jetty.io.ManagedSelector
+import org.eclipse.jetty.io.SocketChannelEndPoint
+import org.eclipse.jetty.server.HttpConfiguration
+import org.eclipse.jetty.server.HttpConnectionFactory
+import org.eclipse.jetty.server.Server
+import org.eclipse.jetty.server.ServerConnector
+import org.eclipse.jetty.util.BufferUtil
+import org.eclipse.jetty.util.Callback
+import org.eclipse.jetty.util.thread.Scheduler
+import java.nio.ByteBuffer
+import java.nio.channels.SelectionKey
+import java.nio.channels.SocketChannel
+import java.util.concurrent.Executor
+
+/** Accepts connections whose end is noticed while a request is being handled. */
+internal class WatchedConnector(server: Server, http: HttpConfiguration) :
+    ServerConnector(server, 1, 1, HttpConnectionFactory(http)) {
+    override fun newEndPoint(
+        channel: SocketChannel,
+        selector: ManagedSelector,
+        key: SelectionKey,
+    ): SocketChannelEndPoint = WatchedEndPoint(channel, selector, key, scheduler, executor).also {
+        it.idleTimeout = idleTimeout
+    }
+}
+
+/**
+ * Tells while a request is handled that its caller closed the connection.
+ *
+ * Jetty reads nothing during that time. The watch reads ahead instead, and hands bytes of a next request to Jetty when
+ * it reads again.
+ */
+internal class WatchedEndPoint(
+    channel: SocketChannel,
+    selector: ManagedSelector,
+    key: SelectionKey,
+    scheduler: Scheduler,
+    private val executor: Executor,
+) : SocketChannelEndPoint(channel, selector, key, scheduler) {
+    private val lock = Any()
+    private var ahead = ByteBuffer.allocate(0)
+    private var ended = false
+    private var registered = false
+    private var reader: Callback? = null
+    private var onLeft: (() -> Unit)? = null
+
+    /** Calls [onLeft] once if the caller closes the connection before [unwatch]. */
+    fun watch(onLeft: () -> Unit) {
+        val register = synchronized(lock) {
+            this.onLeft = onLeft
+            val needed = !registered && !ended && ahead.remaining() < READ_AHEAD_BYTES
+            if (needed) registered = true
+            needed
+        }
+        if (register) super.fillInterested(readable)
+        if (synchronized(lock) { ended }) onLeft()
+    }
+
+    /** Ends the watch; a read that it started goes on for Jetty. */
+    fun unwatch() {
+        synchronized(lock) { onLeft = null }
+    }
+
+    override fun fill(buffer: ByteBuffer): Int {
+        synchronized(lock) {
+            if (ahead.hasRemaining()) return BufferUtil.append(buffer, ahead)
+            if (ended) return -1
+        }
+        return super.fill(buffer)
+    }
+
+    override fun fillInterested(callback: Callback) {
+        if (!takesOver(callback)) super.fillInterested(callback)
+    }
+
+    override fun tryFillInterested(callback: Callback): Boolean =
+        takesOver(callback) || super.tryFillInterested(callback)
+
+    private fun takesOver(callback: Callback): Boolean {
+        val ready = synchronized(lock) {
+            val ready = ahead.hasRemaining() || ended
+            if (!ready && registered) reader = callback
+            if (!ready && !registered) return false
+            ready
+        }
+        if (ready) executor.execute(callback::succeeded)
+        return true
+    }
+
+    private val readable = object : Callback {
+        override fun succeeded() {
+            val next = synchronized(lock) {
+                registered = false
+                reader.also { reader = null }
+            }
+            if (next != null) next.succeeded() else readAhead()
+        }
+
+        override fun failed(cause: Throwable) {
+            val next = synchronized(lock) {
+                registered = false
+                ended = true
+                reader.also { reader = null }
+            }
+            if (next != null) next.failed(cause) else left()
+        }
+    }
+
+    private fun readAhead() {
+        val buffer = BufferUtil.allocate(READ_AHEAD_BYTES)
+        val count = super.fill(buffer)
+        val again = synchronized(lock) {
+            when {
+                count < 0 -> ended = true
+                count > 0 -> ahead = joined(buffer)
+            }
+            val next = reader
+            if (next != null) reader = null
+            next?.let { executor.execute(it::succeeded) }
+            (next == null && count >= 0 && ahead.remaining() < READ_AHEAD_BYTES && onLeft != null)
+                .also { if (it) registered = true }
+        }
+        if (count < 0) left() else if (again) super.fillInterested(readable)
+    }
+
+    private fun joined(more: ByteBuffer): ByteBuffer =
+        ByteBuffer.allocate(ahead.remaining() + more.remaining()).put(ahead).put(more).flip()
+
+    private fun left() {
+        synchronized(lock) { onLeft.also { onLeft = null } }?.invoke()
+    }
+
+    private companion object {
+        const val READ_AHEAD_BYTES = 8 * 1024
+    }
+}
