--- a/gateway/src/main/kotlin/org/celerywalk/gateway/FleetState.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/FleetState.kt
@@ -10,9 +10,9 @@
 import org.celerywalk.limit.RetryBudget
 import org.celerywalk.route.RouteTable
 import org.celerywalk.routing.FleetLoads
+import org.celerywalk.weights.NamedHistory
 import org.celerywalk.weights.NamedWeights
 import java.util.concurrent.ConcurrentHashMap
-import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
@@ -26,9 +26,6 @@
     val cacheStore = configuration.services.values.firstNotNullOfOrNull { it.cacheStore }
 }
 
-/** Holds weights with the time at which this process learned of them. */
-internal class ObservedWeights(val weights: NamedWeights, val observedAt: ComparableTimeMark)
-
 /** Holds all that a gateway process believes about the fleet. */
 internal class FleetState(
     val settings: GatewaySettings,
@@ -46,10 +43,10 @@
     val locations = PartLocations(timeSource, PARTS_ASSUMED)
     val quotas = ConcurrentHashMap<String, FleetQuota>()
     private val budgets = ConcurrentHashMap<String, RetryBudget>()
-    private val named = ConcurrentHashMap<String, ObservedWeights>()
+    private val named = ConcurrentHashMap<String, NamedHistory>()
 
     /** Newest weights of each model. */
-    val weights: Collection<ObservedWeights> get() = named.values
+    val weights: List<NamedWeights> get() = named.map { (model, history) -> NamedWeights(model, history.newest) }
 
     /** Puts [configuration] in force unless a newer one is; returns true if it did. */
     @Synchronized
@@ -62,14 +59,9 @@
     }
 
     /** Records the newest weights of a model; returns true if they are news. */
-    fun name(weights: NamedWeights): Boolean {
-        val known = named[weights.model]
-        if (known != null && known.weights.version >= weights.version) return false
-        named[weights.model] = ObservedWeights(weights, timeSource.markNow())
-        return true
-    }
+    fun name(weights: NamedWeights): Boolean = weightsOf(weights.model).name(weights.version)
 
-    fun weightsOf(model: String): ObservedWeights? = named[model]
+    fun weightsOf(model: String): NamedHistory = named.computeIfAbsent(model) { NamedHistory(timeSource) }
 
     fun quotaOf(account: String): FleetQuota =
         quotas.computeIfAbsent(account) { FleetQuota(timeSource, quotaShare) }
@@ -89,8 +81,8 @@
     }
 
     private companion object {
-        // The registry is read every second.
-        val REGISTRY_OUTAGE = 2500.milliseconds
+        // The registry is read every two seconds.
+        val REGISTRY_OUTAGE = 3500.milliseconds
         val REGISTRATIONS_RETURN = 2500.milliseconds
 
         // Events tell of parts within a few hundred milliseconds after a prompt was read.
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/Forwarding.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/Forwarding.kt
@@ -1,5 +1,6 @@
 package org.celerywalk.gateway
 
+import okhttp3.Call
 import org.celerywalk.endpoint.RegisteredEndpoint
 import org.celerywalk.platform.wire.EndpointAnswer
 import org.celerywalk.platform.wire.ForwardedHeaders
@@ -135,14 +136,15 @@
             call.timeout().timeout((timeLeft() / 2).inWholeMilliseconds.coerceAtLeast(1), TimeUnit.MILLISECONDS)
         }
         exchange.attach(call)
-        val verdict = judge(endpoint, parts.client.send(call), onAnswer)
+        val verdict = judge(endpoint, call, onAnswer)
         log(endpoint, verdict)
         return verdict
     }
 
-    private fun judge(endpoint: RegisteredEndpoint, result: SendResult, onAnswer: () -> Unit): Verdict {
+    private fun judge(endpoint: RegisteredEndpoint, call: Call, onAnswer: () -> Unit): Verdict {
         val health = parts.state.loads.of(endpoint.id).health
-        val verdict = when (result) {
+        val sentAt = exchange.elapsed()
+        val verdict = when (val result = parts.client.send(call)) {
             is SendResult.NotSent -> Verdict.NotRun(result.cause, arrived = false)
             is SendResult.Lost -> Verdict.Lost(result.cause)
             is SendResult.Answered -> result.response.use { response ->
@@ -153,7 +155,7 @@
         }
         if (verdict is Verdict.Lost || verdict is Verdict.Failed || verdict is Verdict.Answered) runs++
         when {
-            exchange.cut == Cut.CALLER_LEFT -> Unit
+            exchange.cut != null && exchange.elapsed() - sentAt < patience(endpoint) -> Unit
             verdict is Verdict.Lost || (verdict is Verdict.NotRun && !verdict.arrived) -> {
                 if (health.failed()) parts.log.write("endpoint_ejected", "endpoint" to endpoint.id, "service" to service)
             }
@@ -162,6 +164,13 @@
         return verdict
     }
 
+    // A call that ends sooner than this, because its caller's time is up, says nothing about the endpoint.
+    private fun patience(endpoint: RegisteredEndpoint): Duration = if (exchange.caller.model != null) {
+        GENERATION_PATIENCE
+    } else {
+        maxOf(SHORTEST_PATIENCE, parts.state.loads.of(endpoint.id).averageServiceTime * PATIENCE_FACTOR)
+    }
+
     private fun learn(endpoint: RegisteredEndpoint, meta: EndpointAnswer) {
         val model = exchange.caller.model
         val version = meta.weightsVersion
@@ -249,6 +258,10 @@
         // A replica that is full or changes its weights gets other work only after this time.
         val FULL_HOLDS = 250.milliseconds
 
+        val GENERATION_PATIENCE = 2.seconds
+        val SHORTEST_PATIENCE = 200.milliseconds
+        const val PATIENCE_FACTOR = 8
+
         // Callers give up a stream after a gap of two seconds.
         val STREAM_SILENCE = 1.5.seconds
     }
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
@@ -25,11 +25,11 @@
     private val replicas = ReplicaCalls(calls)
     private val membership = Membership(settings, table, timeSource, log)
     private val state = FleetState(settings, timeSource, membership::count, membership::quotaShare)
-    private val peers = PeerExchange(state, membership, log)
-    private val weights = WeightsDuty(
-        state, OrderLeaseKeeper(settings, table, timeSource, log), replicas, log, peers::tellSoon,
-    )
-    private val store = StoreDuties(state, table, log, weights::runSoon)
+    private val lease = OrderLeaseKeeper(settings, table, timeSource, log)
+    private val store: StoreDuties = StoreDuties(state, table, log) { weights.runSoon() }
+    private val peers = PeerExchange(state, membership, log) { lease.holds && store.readWithin(LEASE_CLAIM) }
+    private val weights: WeightsDuty =
+        WeightsDuty(state, lease, replicas, log, { !lease.holds && peers.leaseIsElsewhere }, peers::tellSoon)
     private val cacheEvents = CacheEventDuties(state, replicas, log)
     private val handler = RequestHandler(state, forwardingParts(), log, metrics)
     private val server = GatewayServer(settings, handler, Pages())
@@ -61,9 +61,9 @@
         membership.leave()
         val stoppedAt = timeSource.markNow()
         val latest = settings.bounds.stopGrace - STOP_MARGIN
-        while (stoppedAt.elapsedNow() < latest && (stoppedAt.elapsedNow() < BALANCER_NOTICES || handler.open > 0)) {
-            pause(STOP_CHECK)
-        }
+        while (stoppedAt.elapsedNow() < BALANCER_NOTICES) pause(STOP_CHECK)
+        handler.refusing = true
+        while (stoppedAt.elapsedNow() < latest && handler.open > 0) pause(STOP_CHECK)
         log.write("stopped", "open" to handler.open, "after" to stoppedAt.elapsedNow())
         log.close()
     }
@@ -76,8 +76,9 @@
         replicas,
         GenerationPlacement(
             state,
-            ModelReplicaChooser(state.loads, state.locations, settings.dataCentre, settings.prefillTokensPerMilli),
+            ModelReplicaChooser(timeSource, state.loads, state.locations, settings.dataCentre, settings.prefillTokensPerMilli),
             log,
+            peers::placed,
         ),
         ServiceEndpointChooser(state.loads, settings.dataCentre),
         log,
@@ -106,8 +107,11 @@
         val CONNECT_TIMEOUT = 400.milliseconds
         val READY_MARGIN = 300.milliseconds
 
-        // The balancer checks once a second and needs two misses.
-        val BALANCER_NOTICES = 3.seconds
+        // The balancer checks once a second and needs two misses; what it sends after that is refused.
+        val BALANCER_NOTICES = 2500.milliseconds
+
+        // Others give orders if the holder of the lease has not read the store for this long.
+        val LEASE_CLAIM = 1500.milliseconds
         val STOP_MARGIN = 1.seconds
         val STOP_CHECK = 50.milliseconds
     }
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GenerationPlacement.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GenerationPlacement.kt
@@ -1,6 +1,7 @@
 package org.celerywalk.gateway
 
 import org.celerywalk.cache.CacheScope
+import org.celerywalk.cache.PromptPart
 import org.celerywalk.endpoint.RegisteredEndpoint
 import org.celerywalk.platform.wire.ForwardedGeneration
 import org.celerywalk.routing.EndpointLoad
@@ -46,6 +47,7 @@
     private val state: FleetState,
     private val chooser: ModelReplicaChooser,
     private val log: EventLog,
+    private val onPlaced: (holder: String, CacheScope, List<PromptPart>) -> Unit,
 ) {
     /** Chooses among [candidates] for the request of [exchange], which has [timeLeft]. */
     fun place(
@@ -57,11 +59,10 @@
     ): GenerationChoice {
         val engine = admitted.active.configuration.services.getValue(service).engine
         val generation = generation(exchange, admitted)
-        val named = state.weightsOf(generation.model)
         val placement = engine?.let {
             val context = EngineContext(it, admitted.active.cacheStore)
-            val fresh = named == null || named.observedAt.elapsedNow() < state.settings.bounds.weightsDeadline - OLD_MARGIN
-            chooser.choose(generation, candidates, context, named?.weights?.version ?: 0, fresh)
+            val oldAllowedFor = state.settings.bounds.weightsDeadline - OLD_MARGIN
+            chooser.choose(generation, candidates, context, state.weightsOf(generation.model), oldAllowedFor)
         }
         val left = timeLeft.toDouble(DurationUnit.MILLISECONDS)
         return when {
@@ -95,6 +96,7 @@
             "id" to exchange.caller.attemptId,
             "endpoint" to endpoint.id,
             "weights" to placement.version,
+            "part" to generation.parts.dropLast(1).lastOrNull()?.id,
             "cached" to placement.cachedTokens,
             "fetched" to placement.fetchTokens,
             "fetch_from" to placement.fetchFrom,
@@ -103,6 +105,7 @@
             "calls" to state.loads.of(endpoint.id).work().calls,
         )
         state.locations.sent(endpoint.id, placement.scope, generation.parts)
+        onPlaced(endpoint.id, placement.scope, generation.parts.dropLast(1))
         val forwarded = ForwardedGeneration(
             cacheScope = placement.scope.text,
             expectedVersion = placement.version,
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/Membership.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/Membership.kt
@@ -19,7 +19,7 @@
 
     private val members = ConcurrentHashMap<String, Member>()
     private val duty = PeriodicDuty("members", READ_PERIOD, log, ::read)
-    private var registered = false
+    private var reads = 0
 
     fun start() {
         duty.start()
@@ -43,7 +43,9 @@
     /** Number of gateways, this one included. */
     fun count(): Int = members.size + 1
 
-    fun heard(peer: String) {
+    /** Records a message of gateway [peer] from [address]. */
+    fun heard(peer: String, address: SocketAddress) {
+        update(peer, address)
         members[peer]?.heardAt = timeSource.markNow()
     }
 
@@ -56,6 +58,8 @@
     }
 
     private fun read() {
+        // Gateways that start later announce themselves by their messages.
+        if (reads++ > EARLY_READS && reads % LATER_STRIDE != 0) return
         table.read(MEMBERS_TABLE, CALL_TIMEOUT).fold(
             { log.write("members_unread", "step" to it.step, "peer" to it.peer, "cause" to it.message) },
             { reading ->
@@ -73,7 +77,10 @@
             log.write("row_unreadable", "table" to MEMBERS_TABLE, "key" to name)
             return
         }
-        val address = SocketAddress(text.substringBeforeLast(':'), port)
+        update(name, SocketAddress(text.substringBeforeLast(':'), port))
+    }
+
+    private fun update(name: String, address: SocketAddress) {
         if (members[name]?.address != address) {
             log.write("member_found", "peer" to name, "address" to address)
             members[name] = Member(address, null)
@@ -83,16 +90,17 @@
     private fun register() {
         table.write(RowWrite(MEMBERS_TABLE, settings.instance, own().toByteArray(), null), CALL_TIMEOUT).fold(
             { log.write("member_register_failed", "step" to it.step, "peer" to it.peer, "cause" to it.message) },
-            { if (!registered) duty.runSoon() },
+            { log.write("member_registered", "address" to own()) },
         )
-        registered = true
     }
 
     private fun own() = "${settings.callers.host}:${settings.peerPort}"
 
     private companion object {
         const val MEMBERS_TABLE = "gateways"
-        val READ_PERIOD = 3.seconds
+        val READ_PERIOD = 2.seconds
+        const val EARLY_READS = 3
+        const val LATER_STRIDE = 5
         val CALL_TIMEOUT = 900.milliseconds
 
         // Several intervals of the exchange.
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/OrderLeaseKeeper.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/OrderLeaseKeeper.kt
@@ -20,10 +20,14 @@
     private class Held(val lease: OrderLease, val rowVersion: Long, val storeMillis: Long, val readAt: ComparableTimeMark)
 
     private val policy = LeasePolicy(settings.instance, (settings.bounds.orderLease + TAKE_OVER_MARGIN).inWholeMilliseconds)
+    @Volatile
     private var held: Held? = null
     private var renewedAt: ComparableTimeMark? = null
     private var askedAt: ComparableTimeMark? = null
 
+    /** True while this process holds the lease as far as it knows. */
+    val holds: Boolean get() = held != null
+
     /** Returns the fencing number if this process may give an order right now, or null. */
     fun confirmed(): Long? {
         val last = renewedAt
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/PeerExchange.kt
@@ -3,7 +3,10 @@
 import com.fasterxml.jackson.core.JsonProcessingException
 import com.fasterxml.jackson.databind.JsonNode
 import com.fasterxml.jackson.databind.ObjectMapper
+import org.celerywalk.cache.CacheScope
+import org.celerywalk.cache.PromptPart
 import org.celerywalk.routing.Work
+import org.jctools.queues.MpscArrayQueue
 import java.io.IOException
 import java.net.DatagramPacket
 import java.net.DatagramSocket
@@ -23,7 +26,11 @@
     private val state: FleetState,
     private val membership: Membership,
     private val log: EventLog,
+    private val holdsLease: () -> Boolean,
 ) : AutoCloseable {
+    private class PlacedParts(val holder: String, val scope: String, val parts: String)
+
+    private val placements = MpscArrayQueue<PlacedParts>(PLACEMENTS_PER_MESSAGE)
     private val json = ObjectMapper()
     private val socket = DatagramSocket(InetSocketAddress(state.settings.callers.host, state.settings.peerPort))
     private val sender = PeriodicDuty("peers-send", SEND_PERIOD, log, ::send)
@@ -34,9 +41,15 @@
     private val lastHeard = ConcurrentHashMap<String, Long>()
     private var number = 0L
 
+    @Volatile
+    private var leaseHeardAt: ComparableTimeMark? = null
+
     @Volatile
     private var open = true
 
+    /** True if another gateway has said recently that it gives the orders. */
+    val leaseIsElsewhere: Boolean get() = leaseHeardAt?.let { it.elapsedNow() <= LEASE_REPORT_HOLDS } ?: false
+
     fun start() {
         receiver.start()
         sender.start()
@@ -82,7 +95,7 @@
         state.quotas.forEach { (account, quota) -> quotas.put(account, quota.admittedTotal.toLong()) }
         val work = root.putObject(WORK)
         val versions = root.putObject(VERSIONS)
-        val models = state.weights.map { it.weights.model }
+        val models = state.weights.map { it.model }
         state.loads.all().forEach { (endpoint, load) ->
             val own = load.ownWork
             if (own.calls > 0) work.putArray(endpoint).add(own.calls).add(own.unreadTokens).add(own.cacheTokens)
@@ -92,9 +105,18 @@
         }
         val changing = root.putArray(CHANGING)
         state.loads.all().filterValues { it.ordered }.keys.forEach { changing.add(it) }
+        val placed = root.putArray(PLACED)
+        placements.drain { placed.addArray().add(it.holder).add(it.scope).add(it.parts) }
+        if (holdsLease()) root.put(LEASE, true)
         return root
     }
 
+    /** Tells the others that the parts of a prompt will be kept by a holder. */
+    fun placed(holder: String, scope: CacheScope, parts: List<PromptPart>) {
+        val names = parts.joinToString(",") { it.id }
+        if (parts.isNotEmpty()) placements.offer(PlacedParts(holder, scope.text, names))
+    }
+
     private fun receive() {
         val buffer = ByteArray(MAX_MESSAGE_BYTES)
         while (open) {
@@ -102,7 +124,7 @@
             try {
                 socket.receive(packet)
                 val root = json.readTree(buffer, 0, packet.length)
-                if (root.path(NAME).isTextual) apply(root)
+                if (root.path(NAME).isTextual) apply(root, SocketAddress(packet.address.hostAddress, packet.port))
             } catch (e: JsonProcessingException) {
                 log.write("peer_message_unreadable", "peer" to packet.address, "cause" to e.originalMessage)
             } catch (e: IOException) {
@@ -111,10 +133,10 @@
         }
     }
 
-    private fun apply(root: JsonNode) {
+    private fun apply(root: JsonNode, from: SocketAddress) {
         val peer = root.path(NAME).asText()
         lastHeard[peer] = root.path(NUMBER).asLong()
-        membership.heard(peer)
+        membership.heard(peer, from)
         root.path(QUOTAS).properties().forEach { (account, total) ->
             state.quotaOf(account).reported(peer, total.asDouble())
         }
@@ -132,6 +154,11 @@
             if (load != null) models.properties().forEach { (model, version) -> load.sawVersion(model, version.asInt()) }
         }
         root.path(CHANGING).forEach { state.loads.all()[it.asText()]?.startedWeightChange(CHANGE_REPORT_HOLDS) }
+        root.path(PLACED).forEach { placed ->
+            val (holder, scope, parts) = placed.map { it.asText() }
+            state.locations.sent(holder, CacheScope(scope), parts.split(',').map { PromptPart(it, 0) })
+        }
+        if (root.has(LEASE)) leaseHeardAt = state.timeSource.markNow()
         confirm(root)
     }
 
@@ -158,11 +185,15 @@
         const val WORK = "work"
         const val VERSIONS = "versions"
         const val CHANGING = "changing"
+        const val PLACED = "placed"
+        const val LEASE = "lease"
+        const val PLACEMENTS_PER_MESSAGE = 256
         const val MAX_MESSAGE_BYTES = 60_000
         const val REMEMBERED_MESSAGES = 64
 
         // An account that sends many times its rate must not get far beyond its burst before all gateways know.
-        val SEND_PERIOD = 150.milliseconds
+        val SEND_PERIOD = 100.milliseconds
         val CHANGE_REPORT_HOLDS = 400.milliseconds
+        val LEASE_REPORT_HOLDS = 600.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/RequestHandler.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/RequestHandler.kt
@@ -27,13 +27,20 @@
     @Volatile
     var stopping: Boolean = false
 
+    /** True once the process is about to end and takes no more requests. */
+    @Volatile
+    var refusing: Boolean = false
+
     /** Number of requests without a final answer. */
     val open: Int get() = running.get()
 
     fun handle(request: HttpServletRequest, response: HttpServletResponse) {
         val exchange = CallerExchange(request, response, state.timeSource.markNow(), stopping)
         try {
-            if (running.incrementAndGet() > MAX_REQUESTS) {
+            running.incrementAndGet()
+            if (refusing) {
+                refuse(exchange, Refusal(UNAVAILABLE, "stopping", RETRY_ELSEWHERE))
+            } else if (running.get() > MAX_REQUESTS) {
                 refuse(exchange, Refusal(UNAVAILABLE, "too_many_requests", RETRY_LATER))
             } else {
                 admission.admit(exchange).fold({ refuse(exchange, it) }, { forward(exchange, it) })
@@ -95,6 +102,7 @@
         // Well below the threads of the server.
         const val MAX_REQUESTS = 200
         val RETRY_LATER = 1.seconds
+        val RETRY_ELSEWHERE = 50.milliseconds
 
         // The final answer still has to reach the caller.
         val RETURN_TIME = 8.milliseconds
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/StoreDuties.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/StoreDuties.kt
@@ -4,6 +4,8 @@
 import org.celerywalk.platform.wire.FleetDocument
 import org.celerywalk.platform.wire.PlatformTable
 import org.celerywalk.platform.wire.StoredRow
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -14,36 +16,42 @@
     private val log: EventLog,
     private val onWeightsNamed: () -> Unit,
 ) : AutoCloseable {
-    private val operators = PeriodicDuty("store-operators", READ_PERIOD, log, ::readOperators)
-    private val registry = PeriodicDuty("store-registry", READ_PERIOD, log, ::readRegistry)
-    private val changes = PeriodicDuty("store-changes", CHANGES_PAUSE, log, ::awaitChange)
+    private val operators = PeriodicDuty("store-operators", CONFIRMATION_PERIOD, log, ::readOperators)
+    private val registry = PeriodicDuty("store-registry", REGISTRY_PERIOD, log, ::readRegistry)
+    private val operatorChanges = ChangeFeed(OPERATORS_TABLE, operators::runSoon)
+    private val registryChanges = ChangeFeed(REGISTRY_TABLE, registry::runSoon)
 
     @Volatile
-    private var storeVersion = 0L
+    private var reachable: Boolean? = null
 
     @Volatile
-    private var reachable: Boolean? = null
+    private var lastRead: ComparableTimeMark? = null
 
     /** True once the registry was read. */
     @Volatile
     var registryRead: Boolean = false
         private set
 
+    /** True if this process itself read the store at most [age] ago. */
+    fun readWithin(age: Duration): Boolean = lastRead?.let { it.elapsedNow() <= age } ?: false
+
     fun start() {
         operators.start()
         registry.start()
-        changes.start()
+        operatorChanges.start()
+        registryChanges.start()
     }
 
     override fun close() {
-        listOf(operators, registry, changes).forEach { it.close() }
+        listOf(operators, registry, operatorChanges, registryChanges).forEach { it.close() }
     }
 
     private fun readOperators() {
         val sentAt = state.timeSource.markNow()
         table.read(OPERATORS_TABLE, READ_TIMEOUT).fold(::unreachable) { reading ->
             reachable()
-            storeVersion = maxOf(storeVersion, reading.storeVersion)
+            lastRead = sentAt
+            operatorChanges.seen(reading.storeVersion)
             if (reading.rows.all(::apply)) state.confirmation.confirm(sentAt)
         }
     }
@@ -84,6 +92,7 @@
             val entries = reading.rows.mapNotNull { row ->
                 FleetDocument.endpoint(row.key, row.value).also { if (it == null) unreadable(row) }
             }
+            registryChanges.seen(reading.storeVersion)
             val change = state.directory.read(entries)
             registryRead = true
             entries.forEach { entry ->
@@ -103,17 +112,34 @@
         log.write(event, "endpoint" to endpoint.id, "service" to endpoint.service, "address" to endpoint.address)
     }
 
-    // The answer only says that there is something to read, so a lost or late one costs time but no correctness.
-    private fun awaitChange() {
-        table.awaitChange(OPERATORS_TABLE, storeVersion, CHANGES_WAIT).fold(
-            { error -> if (error.status == HISTORY_GONE) operators.runSoon() else unreachable(error) },
-            { version ->
-                if (version > storeVersion) {
-                    storeVersion = version
-                    operators.runSoon()
-                }
-            },
-        )
+    /** Waits for changes of one table and has it read then. */
+    private inner class ChangeFeed(private val table: String, private val onChange: () -> Unit) : AutoCloseable {
+        private val duty = PeriodicDuty("store-feed-$table", FEED_PAUSE, log, ::await)
+
+        @Volatile
+        private var version = 0L
+
+        fun start() = duty.start()
+
+        override fun close() = duty.close()
+
+        fun seen(version: Long) {
+            this.version = maxOf(this.version, version)
+        }
+
+        // The answer only says that there is something to read, so a lost or late one costs time but no correctness.
+        private fun await() {
+            val after = version
+            this@StoreDuties.table.awaitChange(table, after, FEED_WAIT).fold(
+                { error -> if (error.status == HISTORY_GONE) onChange() else unreachable(error) },
+                { newest ->
+                    if (newest > after) {
+                        seen(newest)
+                        onChange()
+                    }
+                },
+            )
+        }
     }
 
     private fun unreachable(error: CallError) {
@@ -133,12 +159,13 @@
         const val WEIGHTS_PREFIX = "version/"
         const val HISTORY_GONE = 410
 
-        // Leaving endpoints must get no new work after two seconds; each reading costs a call to the store.
-        val READ_PERIOD = 1.seconds
-        val READ_TIMEOUT = 900.milliseconds
+        // Keys may be used for a few seconds after the last confirmation; each reading costs a call to the store.
+        val CONFIRMATION_PERIOD = 1200.milliseconds
 
-        // The feed's version counts all tables, so a change elsewhere does not end the wait.
-        val CHANGES_WAIT = 5.seconds
-        val CHANGES_PAUSE = 50.milliseconds
+        // Changes are told by the feed; readings at this pace make up for a feed that is silent.
+        val REGISTRY_PERIOD = 2.seconds
+        val READ_TIMEOUT = 900.milliseconds
+        val FEED_WAIT = 5.seconds
+        val FEED_PAUSE = 100.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/WeightsDuty.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/WeightsDuty.kt
@@ -16,6 +16,7 @@
     private val lease: OrderLeaseKeeper,
     private val replicas: ReplicaCalls,
     private val log: EventLog,
+    private val othersGiveOrders: () -> Boolean,
     private val onOrdered: () -> Unit,
 ) : AutoCloseable {
     private class Loading(val weights: NamedWeights, val since: ComparableTimeMark)
@@ -43,9 +44,10 @@
         val endpoints = state.directory.endpoints
         loading.keys.filter { it !in endpoints }.forEach(::ended)
         loading.keys.toList().forEach { check(endpoints.getValue(it)) }
-        state.weights.forEach { observed ->
-            val service = active.configuration.services.values.find { observed.weights.model in it.engine?.models.orEmpty() }
-            if (service != null) rollOut(observed.weights, state.directory.serving(service.name))
+        if (othersGiveOrders()) return
+        state.weights.forEach { weights ->
+            val service = active.configuration.services.values.find { weights.model in it.engine?.models.orEmpty() }
+            if (service != null) rollOut(weights, state.directory.serving(service.name))
         }
     }
 
--- a/library/src/main/kotlin/org/celerywalk/cache/PartLocations.kt
+++ b/library/src/main/kotlin/org/celerywalk/cache/PartLocations.kt
@@ -62,13 +62,22 @@
         holders.remove(holder)
     }
 
-    /** Tokens of [parts] that [holder] keeps in one stretch from the first part on. */
+    /**
+     * Tokens of [parts] that [holder] keeps in one stretch from the first part on.
+     *
+     * @param sentBefore age from which on parts that were sent to the holder count as kept.
+     */
     @Synchronized
-    public fun prefixTokens(holder: String, scope: CacheScope, parts: List<PromptPart>): Int {
+    public fun prefixTokens(
+        holder: String,
+        scope: CacheScope,
+        parts: List<PromptPart>,
+        sentBefore: Duration = Duration.ZERO,
+    ): Int {
         val known = holders[holder] ?: return 0
         var total = 0
         for (part in parts) {
-            val kept = known.kept(Key(scope.text, part.id), part.tokens)
+            val kept = known.kept(Key(scope.text, part.id), part.tokens, sentBefore)
             total += kept
             if (kept + BLOCK_TOKENS <= part.tokens) break
         }
@@ -79,10 +88,10 @@
     @Synchronized
     public fun size(holder: String): Int = holders[holder]?.parts?.size ?: 0
 
-    private fun Holder.kept(key: Key, tokens: Int): Int {
-        val assumedAt = assumed[key]
+    private fun Holder.kept(key: Key, tokens: Int, sentBefore: Duration): Int {
+        val age = assumed[key]?.elapsedNow()
         return when {
-            assumedAt != null && assumedAt.elapsedNow() <= assumedFor -> tokens
+            age != null && age <= assumedFor && age >= sentBefore -> tokens
             else -> minOf(parts[key] ?: 0, tokens)
         }
     }
--- a/library/src/main/kotlin/org/celerywalk/routing/ModelReplicaChooser.kt
+++ b/library/src/main/kotlin/org/celerywalk/routing/ModelReplicaChooser.kt
@@ -6,7 +6,15 @@
 import org.celerywalk.endpoint.RegisteredEndpoint
 import org.celerywalk.fleet.CacheStoreDefinition
 import org.celerywalk.fleet.EngineDefinition
+import org.celerywalk.weights.NamedHistory
+import java.util.concurrent.ConcurrentHashMap
 import kotlin.math.max
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
+import kotlin.time.TimeSource
 
 /**
  * Describes a generation to be placed.
@@ -44,28 +52,49 @@
 
 /** Chooses a model replica by its expected time to the first token. */
 public class ModelReplicaChooser(
+    private val timeSource: TimeSource.WithComparableMarks,
     private val loads: FleetLoads,
     private val locations: PartLocations,
     private val dataCentre: String,
     private val prefillTokensPerMilli: Double,
 ) {
+    // When the transfers that this process has asked a holder for are over.
+    private val linkFreeAt = ConcurrentHashMap<String, ComparableTimeMark>()
+
     /**
      * Places [generation] on one of [replicas], or returns null if none is usable.
      *
-     * @param named newest weights version; replicas with older ones are avoided.
-     * @param oldAllowed false once older weights must not begin any more work.
+     * Replicas whose weights were superseded more than [oldAllowedFor] ago are not used.
      */
     public fun choose(
         generation: Generation,
         replicas: List<RegisteredEndpoint>,
         service: EngineContext,
-        named: Int,
-        oldAllowed: Boolean,
+        weights: NamedHistory,
+        oldAllowedFor: Duration,
     ): Placement? {
-        val usable = replicas.filter { oldAllowed || version(it, generation.model) >= named }
+        val usable = replicas.filter {
+            val superseded = weights.supersededFor(version(it, generation.model))
+            superseded == null || superseded < oldAllowedFor
+        }
         val healthy = usable.filterNot { loads.of(it.id).health.ejected }.ifEmpty { usable }
         val quiet = healthy.filterNot { loads.of(it.id).changesWeights }.ifEmpty { healthy }
-        return quiet.map { place(generation, it, replicas, service, named) }.minByOrNull { it.score(service) }?.placement
+        val home = home(generation, quiet)
+        return quiet.map { place(generation, it, replicas, service, weights, home) }
+            .minByOrNull { it.score(service) }?.placement?.also { reserveLink(it, service) }
+    }
+
+    private fun reserveLink(placement: Placement, service: EngineContext) {
+        val source = placement.fetchFrom ?: return
+        val start = maxOf(linkFreeAt[source] ?: timeSource.markNow(), timeSource.markNow())
+        linkFreeAt[source] = start + service.transferMillis(placement.fetchTokens, remote = false).milliseconds
+    }
+
+    // Parts that nobody keeps yet go to the same replica from every process.
+    private fun home(generation: Generation, replicas: List<RegisteredEndpoint>): String? {
+        val shared = generation.parts.dropLast(1)
+        if (shared.sumOf { it.tokens } < MIN_HOME_TOKENS) return null
+        return replicas.maxByOrNull { (shared.last().id + it.id).hashCode() * HASH_SPREAD }?.id
     }
 
     private class Candidate(val placement: Placement, private val penaltyMillis: Double) {
@@ -82,7 +111,8 @@
         replica: RegisteredEndpoint,
         replicas: List<RegisteredEndpoint>,
         service: EngineContext,
-        named: Int,
+        weights: NamedHistory,
+        home: String?,
     ): Candidate {
         val version = version(replica, generation.model)
         val scope = CacheScope.of(generation.model, version, generation.isolatedAccount)
@@ -101,9 +131,14 @@
             replica, scope, version, cached, source?.address, fetched, expected,
             Work(1, unread.toLong(), need),
         )
-        val old = if (version < named) OLD_WEIGHTS_MILLIS else 0.0
+        val superseded = weights.supersededFor(version)
+        val old = if (superseded != null && superseded > OLD_WEIGHTS_FREE) OLD_WEIGHTS_MILLIS else 0.0
         val remote = if (replica.dataCentre == dataCentre) 0.0 else REMOTE_MILLIS
-        return Candidate(placement, old + remote)
+        val shared = generation.parts.dropLast(1)
+        val known = replicas.maxOf { locations.prefixTokens(it.id, scope, shared) }
+        val again = max(0, known - cached - fetched) * MILLIS_PER_TOKEN_AGAIN
+        val away = if (home != null && replica.id != home && known < shared.sumOf { it.tokens }) AWAY_MILLIS else 0.0
+        return Candidate(placement, old + remote + again + away)
     }
 
     private class Source(val address: String, val tokens: Int, val millis: Double)
@@ -137,8 +172,10 @@
         scope: CacheScope,
         cached: Int,
     ): Source {
-        val tokens = locations.prefixTokens(holder, scope, generation.parts)
-        return Source(address, tokens, service.transferMillis(max(0, tokens - cached), remote))
+        val tokens = locations.prefixTokens(holder, scope, generation.parts, READ_BY_THEN)
+        val wait = linkFreeAt[address]?.let { -it.elapsedNow() }?.coerceAtLeast(Duration.ZERO) ?: Duration.ZERO
+        val millis = service.transferMillis(max(0, tokens - cached), remote)
+        return Source(address, tokens, millis + wait.toDouble(DurationUnit.MILLISECONDS))
     }
 
     private companion object {
@@ -153,10 +190,20 @@
         const val MILLIS_PER_SLOT = 15.0
 
         // An answer on older weights loses part of its value; a wait of this length is better.
-        const val OLD_WEIGHTS_MILLIS = 250.0
+        const val OLD_WEIGHTS_MILLIS = 400.0
+        val OLD_WEIGHTS_FREE = 1.2.seconds
         const val REMOTE_MILLIS = 2.0
         const val MIN_FETCH_TOKENS = 64
         const val COPY_WEIGHT = 1.0
+
+        // Reading shared parts again costs more than being late: a prefix of 6,000 tokens weighs like 600 ms.
+        const val MILLIS_PER_TOKEN_AGAIN = 0.1
+        const val MIN_HOME_TOKENS = 512
+        const val AWAY_MILLIS = 40.0
+        const val HASH_SPREAD = -0x61c88647
+
+        // Parts that were sent to a replica are read, and can be fetched, after about this time.
+        val READ_BY_THEN = 300.milliseconds
     }
 }
 
--- a/library/src/main/kotlin/org/celerywalk/weights/WeightRollout.kt
+++ b/library/src/main/kotlin/org/celerywalk/weights/WeightRollout.kt
@@ -14,15 +14,15 @@
         .filter { (version(it, named.model) ?: named.version) < named.version }
         .sortedBy { loads.of(it.id).work().calls }
 
-    /** Number of replicas out of [total] that may load at once. */
+    /** Number of replicas out of [total] that may be changing at once; the others keep serving. */
     public fun concurrency(total: Int): Int = max(MIN_AT_ONCE, total / SHARE_AT_ONCE)
 
     private fun version(replica: RegisteredEndpoint, model: String): Int? =
         loads.of(replica.id).version(model) ?: replica.models[model]
 
     private companion object {
-        // The weight store slows down beyond about a quarter of the replicas; a load starts with a wait for its runs.
-        const val SHARE_AT_ONCE = 3
+        // Most of a change is the wait for running requests, so that fewer load at the same moment.
+        const val SHARE_AT_ONCE = 2
         const val MIN_AT_ONCE = 2
     }
 }
