Share the age of weights between gateways

Change: ages in the peer exchange; what was named before the start counts as 3 s old until a peer tells.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/FleetState.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/FleetState.kt
@@ -13,6 +13,7 @@
 import org.celerywalk.weights.NamedHistory
 import org.celerywalk.weights.NamedWeights
 import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
@@ -59,7 +60,12 @@
     }
 
     /** Records the newest weights of a model; returns true if they are news. */
-    fun name(weights: NamedWeights): Boolean = weightsOf(weights.model).name(weights.version)
+    fun name(weights: NamedWeights): Boolean {
+        val history = weightsOf(weights.model)
+        // What was named before this process started may be some time old.
+        val age = if (history.newest == 0) UNKNOWN_WEIGHTS_AGE else Duration.ZERO
+        return weights.version > history.newest && history.name(weights.version, age)
+    }
 
     fun weightsOf(model: String): NamedHistory = named.computeIfAbsent(model) { NamedHistory(timeSource) }
 
@@ -92,6 +98,9 @@
         const val RATIO_USED = 0.9
         const val MIN_GATEWAYS = 6
 
+        // Other gateways tell the exact age, unless all have started at the same time.
+        val UNKNOWN_WEIGHTS_AGE = 3.seconds
+
         // What was used before a restart is not known.
         const val RESTART_LEVEL = 0.4
         const val OVERAGE_USED = 0.3
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GenerationPlacement.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GenerationPlacement.kt
@@ -96,7 +96,7 @@
             "id" to exchange.caller.attemptId,
             "endpoint" to endpoint.id,
             "weights" to placement.version,
-            "part" to generation.parts.dropLast(1).lastOrNull()?.id,
+            "part" to generation.sharedParts.lastOrNull()?.id,
             "cached" to placement.cachedTokens,
             "fetched" to placement.fetchTokens,
             "fetch_from" to placement.fetchFrom,
@@ -105,7 +105,7 @@
             "calls" to state.loads.of(endpoint.id).work().calls,
         )
         state.locations.sent(endpoint.id, placement.scope, generation.parts)
-        onPlaced(endpoint.id, placement.scope, generation.parts.dropLast(1))
+        onPlaced(endpoint.id, placement.scope, generation.sharedParts)
         val forwarded = ForwardedGeneration(
             cacheScope = placement.scope.text,
             expectedVersion = placement.version,
@@ -119,7 +119,7 @@
     // The last part belongs to this request or its session; the store's memory is for those that many share.
     private fun saveTo(admitted: AdmittedRequest, generation: Generation, scope: CacheScope): String? {
         val store = admitted.active.cacheStore ?: return null
-        val shared = generation.parts.dropLast(1)
+        val shared = generation.sharedParts
         val saved = state.locations.prefixTokens(store.address, scope, shared)
         return store.address.takeIf { shared.sumOf { it.tokens } - saved >= MIN_SAVED_TOKENS }
             ?.also { state.locations.sent(it, scope, shared) }
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/PeerExchange.kt
@@ -14,6 +14,7 @@
 import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -105,6 +106,12 @@
         }
         val changing = root.putArray(CHANGING)
         state.loads.all().filterValues { it.ordered }.keys.forEach { changing.add(it) }
+        val ages = root.putObject(WEIGHT_AGES)
+        models.forEach { model ->
+            val entry = ages.putObject(model)
+            state.weightsOf(model).ages().entries.toList().takeLast(AGES_PER_MODEL)
+                .forEach { (version, age) -> entry.put(version.toString(), age.inWholeMilliseconds) }
+        }
         val placed = root.putArray(PLACED)
         placements.drain { placed.addArray().add(it.holder).add(it.scope).add(it.parts) }
         if (holdsLease()) root.put(LEASE, true)
@@ -154,6 +161,9 @@
             if (load != null) models.properties().forEach { (model, version) -> load.sawVersion(model, version.asInt()) }
         }
         root.path(CHANGING).forEach { state.loads.all()[it.asText()]?.startedWeightChange(CHANGE_REPORT_HOLDS) }
+        root.path(WEIGHT_AGES).properties().forEach { (model, ages) ->
+            ages.properties().forEach { (version, age) -> aged(model, version, age.asLong().milliseconds) }
+        }
         root.path(PLACED).forEach { placed ->
             val (holder, scope, parts) = placed.map { it.asText() }
             state.locations.sent(holder, CacheScope(scope), parts.split(',').map { PromptPart(it, 0) })
@@ -162,6 +172,13 @@
         confirm(root)
     }
 
+    // Only ages are taken over: a name counts once this process has read it itself.
+    private fun aged(model: String, version: String, age: Duration) {
+        val number = version.toIntOrNull() ?: return
+        val history = state.weightsOf(model)
+        if (number <= history.newest) history.name(number, age)
+    }
+
     /**
      * A peer's confirmation counts for the same version of the configuration. The peer sent this message after it had
      * heard the message that it names, so its reading of the store is at least as recent as that message less its age.
@@ -187,6 +204,8 @@
         const val CHANGING = "changing"
         const val PLACED = "placed"
         const val LEASE = "lease"
+        const val WEIGHT_AGES = "weight-ages"
+        const val AGES_PER_MODEL = 4
         const val PLACEMENTS_PER_MESSAGE = 256
         const val MAX_MESSAGE_BYTES = 60_000
         const val REMEMBERED_MESSAGES = 64
--- a/library/src/main/kotlin/org/celerywalk/routing/ModelReplicaChooser.kt
+++ b/library/src/main/kotlin/org/celerywalk/routing/ModelReplicaChooser.kt
@@ -2,10 +2,7 @@
 
 import org.celerywalk.cache.CacheScope
 import org.celerywalk.cache.PartLocations
-import org.celerywalk.cache.PromptPart
 import org.celerywalk.endpoint.RegisteredEndpoint
-import org.celerywalk.fleet.CacheStoreDefinition
-import org.celerywalk.fleet.EngineDefinition
 import org.celerywalk.weights.NamedHistory
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.math.max
@@ -17,40 +14,9 @@
 import kotlin.time.TimeSource
 
 /**
- * Describes a generation to be placed.
- *
- * @property isolatedAccount account that shares no cache, or null.
- * @property outputTokens upper bound of the answer's tokens.
+ * Chooses a model replica by its expected time to the first token, and by what the choice costs: shared parts that would
+ * be read again although another replica keeps them, and answers on superseded weights.
  */
-public data class Generation(
-    val model: String,
-    val parts: List<PromptPart>,
-    val promptTokens: Int,
-    val outputTokens: Int,
-    val isolatedAccount: String?,
-)
-
-/**
- * Says where a generation goes.
- *
- * @property scope cache scope for the replica's weights.
- * @property version weights that the replica is expected to have.
- * @property fetchFrom address of a replica or store that keeps more of the prompt, or null.
- * @property expectedMillis expected time to the first token.
- * @property work what the generation adds to the replica's load.
- */
-public data class Placement(
-    val endpoint: RegisteredEndpoint,
-    val scope: CacheScope,
-    val version: Int,
-    val cachedTokens: Int,
-    val fetchFrom: String?,
-    val fetchTokens: Int,
-    val expectedMillis: Double,
-    val work: Work,
-)
-
-/** Chooses a model replica by its expected time to the first token. */
 public class ModelReplicaChooser(
     private val timeSource: TimeSource.WithComparableMarks,
     private val loads: FleetLoads,
@@ -73,109 +39,100 @@
         weights: NamedHistory,
         oldAllowedFor: Duration,
     ): Placement? {
-        val usable = replicas.filter {
-            val superseded = weights.supersededFor(version(it, generation.model))
+        val usable = replicas.filter { replica ->
+            val superseded = weights.supersededFor(version(replica, generation.model))
             superseded == null || superseded < oldAllowedFor
         }
         val healthy = usable.filterNot { loads.of(it.id).health.ejected }.ifEmpty { usable }
         val quiet = healthy.filterNot { loads.of(it.id).changesWeights }.ifEmpty { healthy }
-        val home = home(generation, quiet)
-        return quiet.map { place(generation, it, replicas, service, weights, home) }
-            .minByOrNull { it.score(service) }?.placement?.also { reserveLink(it, service) }
+        val round = Round(generation, replicas, service, weights, home(generation, quiet))
+        return quiet.map(round::place).minByOrNull { it.score }?.placement?.also { reserveLink(it, service) }
     }
 
+    private fun version(replica: RegisteredEndpoint, model: String): Int =
+        loads.of(replica.id).version(model) ?: replica.models[model] ?: 0
+
     private fun reserveLink(placement: Placement, service: EngineContext) {
         val source = placement.fetchFrom ?: return
-        val start = maxOf(linkFreeAt[source] ?: timeSource.markNow(), timeSource.markNow())
+        val now = timeSource.markNow()
+        val start = linkFreeAt[source]?.let { maxOf(it, now) } ?: now
         linkFreeAt[source] = start + service.transferMillis(placement.fetchTokens, remote = false).milliseconds
     }
 
     // Parts that nobody keeps yet go to the same replica from every process.
     private fun home(generation: Generation, replicas: List<RegisteredEndpoint>): String? {
-        val shared = generation.parts.dropLast(1)
+        val shared = generation.sharedParts
         if (shared.sumOf { it.tokens } < MIN_HOME_TOKENS) return null
         return replicas.maxByOrNull { (shared.last().id + it.id).hashCode() * HASH_SPREAD }?.id
     }
 
-    private class Candidate(val placement: Placement, private val penaltyMillis: Double) {
-        // Memory that a copy of parts takes displaces others, so a replica that keeps the parts is worth a short wait.
-        fun score(service: EngineContext): Double = placement.expectedMillis + penaltyMillis +
-            COPY_WEIGHT * service.transferMillis(placement.fetchTokens, false)
-    }
+    private class Candidate(val placement: Placement, val score: Double)
 
-    private fun version(replica: RegisteredEndpoint, model: String): Int =
-        loads.of(replica.id).version(model) ?: replica.models[model] ?: 0
+    private class Source(val address: String, val tokens: Int, val millis: Double)
 
-    private fun place(
-        generation: Generation,
-        replica: RegisteredEndpoint,
-        replicas: List<RegisteredEndpoint>,
-        service: EngineContext,
-        weights: NamedHistory,
-        home: String?,
-    ): Candidate {
-        val version = version(replica, generation.model)
-        val scope = CacheScope.of(generation.model, version, generation.isolatedAccount)
-        val cached = locations.prefixTokens(replica.id, scope, generation.parts)
-        val source = bestSource(generation, replica, replicas, service, scope, cached)
-        val fetched = if (source == null) 0 else source.tokens - cached
-        val unread = max(0, generation.promptTokens - cached - fetched)
-        val load = loads.of(replica.id).work()
-        val need = (generation.promptTokens + generation.outputTokens).toLong()
-        val expected = (load.unreadTokens + unread) / prefillTokensPerMilli +
-            (source?.millis ?: 0.0) +
-            load.calls * MILLIS_PER_CALL +
-            max(0L, load.cacheTokens + need - service.engine.cacheTokens * USABLE_CACHE / 100) / DRAIN_TOKENS_PER_MILLI +
-            max(0, load.calls + 1 - service.engine.slots) * MILLIS_PER_SLOT
-        val placement = Placement(
-            replica, scope, version, cached, source?.address, fetched, expected,
-            Work(1, unread.toLong(), need),
-        )
-        val superseded = weights.supersededFor(version)
-        val old = if (superseded != null && superseded > OLD_WEIGHTS_FREE) OLD_WEIGHTS_MILLIS else 0.0
-        val remote = if (replica.dataCentre == dataCentre) 0.0 else REMOTE_MILLIS
-        val shared = generation.parts.dropLast(1)
-        val known = replicas.maxOf { locations.prefixTokens(it.id, scope, shared) }
-        val again = max(0, known - cached - fetched) * MILLIS_PER_TOKEN_AGAIN
-        val away = if (home != null && replica.id != home && known < shared.sumOf { it.tokens }) AWAY_MILLIS else 0.0
-        return Candidate(placement, old + remote + again + away)
-    }
+    /** Compares the replicas for one generation. */
+    private inner class Round(
+        private val generation: Generation,
+        private val replicas: List<RegisteredEndpoint>,
+        private val service: EngineContext,
+        private val weights: NamedHistory,
+        private val home: String?,
+    ) {
+        private val sharedTokens = generation.sharedParts.sumOf { it.tokens }
+
+        fun place(replica: RegisteredEndpoint): Candidate {
+            val version = version(replica, generation.model)
+            val scope = CacheScope.of(generation.model, version, generation.isolatedAccount)
+            val cached = locations.prefixTokens(replica.id, scope, generation.parts)
+            val source = bestSource(replica, scope, cached)
+            val fetched = if (source == null) 0 else source.tokens - cached
+            val unread = max(0, generation.promptTokens - cached - fetched)
+            val expected = waitMillis(replica) + unread / prefillTokensPerMilli + (source?.millis ?: 0.0)
+            val work = Work(1, unread.toLong(), (generation.promptTokens + generation.outputTokens).toLong())
+            val placement = Placement(replica, scope, version, cached, source?.address, fetched, expected, work)
+            return Candidate(placement, expected + penaltyMillis(placement))
+        }
 
-    private class Source(val address: String, val tokens: Int, val millis: Double)
+        private fun waitMillis(replica: RegisteredEndpoint): Double {
+            val work = loads.of(replica.id).work()
+            val need = generation.promptTokens + generation.outputTokens
+            val missingMemory = max(0.0, work.cacheTokens + need - service.engine.cacheTokens * USABLE_CACHE)
+            val missingSlots = max(0, work.calls + 1 - service.engine.slots)
+            return work.unreadTokens / prefillTokensPerMilli + work.calls * MILLIS_PER_CALL +
+                missingMemory / DRAIN_TOKENS_PER_MILLI + missingSlots * MILLIS_PER_SLOT
+        }
 
-    private fun bestSource(
-        generation: Generation,
-        target: RegisteredEndpoint,
-        replicas: List<RegisteredEndpoint>,
-        service: EngineContext,
-        scope: CacheScope,
-        cached: Int,
-    ): Source? {
-        val others = replicas.filter { it.id != target.id && version(it, generation.model) > 0 }.map {
-            source(it.id, it.address, it.dataCentre != target.dataCentre, generation, service, scope, cached)
+        private fun penaltyMillis(placement: Placement): Double {
+            val replica = placement.endpoint
+            val superseded = weights.supersededFor(placement.version)
+            val old = if (superseded != null && superseded > OLD_WEIGHTS_FREE) OLD_WEIGHTS_MILLIS else 0.0
+            val remote = if (replica.dataCentre == dataCentre) 0.0 else REMOTE_MILLIS
+            val known = replicas.maxOf { locations.prefixTokens(it.id, placement.scope, generation.sharedParts) }
+            val again = max(0, known - placement.cachedTokens - placement.fetchTokens) * MILLIS_PER_TOKEN_AGAIN
+            val away = if (home != null && replica.id != home && known < sharedTokens) AWAY_MILLIS else 0.0
+            // A copy of parts displaces others from memory.
+            val copy = service.transferMillis(placement.fetchTokens, remote = false)
+            return old + remote + again + away + copy
         }
-        val store = service.store?.let {
-            source(it.address, it.address, it.dataCentre != target.dataCentre, generation, service, scope, cached)
+
+        private fun bestSource(target: RegisteredEndpoint, scope: CacheScope, cached: Int): Source? {
+            val others = replicas.filter { it.id != target.id }.map { other ->
+                source(other.id, other.address, other.dataCentre != target.dataCentre, scope, cached)
+            }
+            val store = service.store?.let {
+                source(it.address, it.address, it.dataCentre != target.dataCentre, scope, cached)
+            }
+            return (others + listOfNotNull(store))
+                .filter { it.tokens - cached >= MIN_FETCH_TOKENS }
+                .maxByOrNull { it.tokens - it.millis * prefillTokensPerMilli }
         }
-        // Less than a block or two is read again sooner than it is fetched.
-        return (others + listOfNotNull(store))
-            .filter { it.tokens - cached >= MIN_FETCH_TOKENS }
-            .maxByOrNull { it.tokens - it.millis * prefillTokensPerMilli }
-    }
 
-    private fun source(
-        holder: String,
-        address: String,
-        remote: Boolean,
-        generation: Generation,
-        service: EngineContext,
-        scope: CacheScope,
-        cached: Int,
-    ): Source {
-        val tokens = locations.prefixTokens(holder, scope, generation.parts, READ_BY_THEN)
-        val wait = linkFreeAt[address]?.let { -it.elapsedNow() }?.coerceAtLeast(Duration.ZERO) ?: Duration.ZERO
-        val millis = service.transferMillis(max(0, tokens - cached), remote)
-        return Source(address, tokens, millis + wait.toDouble(DurationUnit.MILLISECONDS))
+        private fun source(holder: String, address: String, remote: Boolean, scope: CacheScope, cached: Int): Source {
+            val tokens = locations.prefixTokens(holder, scope, generation.parts, READ_BY_THEN)
+            val wait = linkFreeAt[address]?.let { -it.elapsedNow() }?.coerceAtLeast(Duration.ZERO) ?: Duration.ZERO
+            val millis = service.transferMillis(max(0, tokens - cached), remote)
+            return Source(address, tokens, millis + wait.toDouble(DurationUnit.MILLISECONDS))
+        }
     }
 
     private companion object {
@@ -184,17 +141,20 @@
 
         // Running requests free about this many tokens of memory in a millisecond.
         const val DRAIN_TOKENS_PER_MILLI = 80.0
-        const val USABLE_CACHE = 90
+
+        // The rest holds parts that are worth keeping.
+        const val USABLE_CACHE = 0.9
 
         // A request that finds no slot waits for one of those that run.
         const val MILLIS_PER_SLOT = 15.0
 
-        // An answer on older weights loses part of its value; a wait of this length is better.
+        // An answer on superseded weights loses part of its value after a while; a wait of this length is better.
         const val OLD_WEIGHTS_MILLIS = 400.0
         val OLD_WEIGHTS_FREE = 1.2.seconds
         const val REMOTE_MILLIS = 2.0
+
+        // Less than a few blocks is read again sooner than it is fetched.
         const val MIN_FETCH_TOKENS = 64
-        const val COPY_WEIGHT = 1.0
 
         // Reading shared parts again costs more than being late: a prefix of 6,000 tokens weighs like 600 ms.
         const val MILLIS_PER_TOKEN_AGAIN = 0.1
@@ -206,18 +166,3 @@
         val READ_BY_THEN = 300.milliseconds
     }
 }
-
-/** Gives the properties of the service whose replicas are chosen from. */
-public class EngineContext(public val engine: EngineDefinition, public val store: CacheStoreDefinition?) {
-    /** Time to move [tokens] of KV cache, twice as long between data centres. */
-    public fun transferMillis(tokens: Int, remote: Boolean): Double {
-        val bits = tokens.toDouble() * engine.bytesPerToken * BITS_PER_BYTE
-        val oneWay = bits / (engine.linkMegabits * BITS_PER_MEGABIT_MILLI)
-        return if (remote) 2 * oneWay else oneWay
-    }
-
-    private companion object {
-        const val BITS_PER_BYTE = 8
-        const val BITS_PER_MEGABIT_MILLI = 1_000.0
-    }
-}
--- a/library/src/main/kotlin/org/celerywalk/stream/EventBoundaries.kt
+++ b/library/src/main/kotlin/org/celerywalk/stream/EventBoundaries.kt
@@ -22,7 +22,8 @@
         if (end < 0) return ""
         val whole = pending.substring(0, end + TERMINATOR.length)
         pending.delete(0, end + TERMINATOR.length)
-        whole.lineSequence().lastOrNull { it.startsWith(ID_FIELD) }?.let { lastEventId = it.removePrefix(ID_FIELD).trim() }
+        val id = whole.lineSequence().lastOrNull { it.startsWith(ID_FIELD) }
+        if (id != null) lastEventId = id.removePrefix(ID_FIELD).trim()
         return whole
     }
 
--- a/library/src/main/kotlin/org/celerywalk/weights/NamedHistory.kt
+++ b/library/src/main/kotlin/org/celerywalk/weights/NamedHistory.kt
@@ -15,14 +15,19 @@
     public val newest: Int
         @Synchronized get() = named.keys.lastOrNull() ?: 0
 
-    /** Records [version] and returns true if it is newer than all others. */
+    /** Records that [version] was named [age] ago or earlier, and returns true if it is newer than all others. */
     @Synchronized
-    public fun name(version: Int): Boolean {
+    public fun name(version: Int, age: Duration = Duration.ZERO): Boolean {
         val newer = version > newest
-        if (newer) named[version] = timeSource.markNow()
+        val known = named[version]?.elapsedNow()
+        if (known == null || known < age) named[version] = timeSource.markNow() - age
         return newer
     }
 
+    /** Time since each version was named, oldest first. */
+    @Synchronized
+    public fun ages(): Map<Int, Duration> = named.mapValues { it.value.elapsedNow() }
+
     /** Time since a version newer than [version] was first named, or null if there is none. */
     @Synchronized
     public fun supersededFor(version: Int): Duration? =
