--- a/gateway/src/main/kotlin/org/celerywalk/gateway/ClassTraining.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/ClassTraining.kt
@@ -5,8 +5,6 @@
 import okhttp3.RequestBody.Companion.toRequestBody
 import java.net.ServerSocket
 import kotlin.system.exitProcess
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
 
 private const val ROUNDS = 20
 private const val LOOPBACK = "127.0.0.1"
@@ -29,19 +27,20 @@
     }
 
     private fun settings(): GatewaySettings {
-        val addresses = List(ADDRESSES) { ServerSocket(0).use { SocketAddress(LOOPBACK, it.localPort) } }
-        return GatewaySettings(
-            instance = "training",
-            dataCentre = "training",
-            firstStart = true,
-            callers = addresses[0],
-            readiness = addresses[1],
-            metrics = addresses[2],
-            peerPort = addresses.last().port,
-            store = addresses.last(),
-            prefillTokensPerMilli = 1.0,
-            bounds = GatewayBounds(1.seconds, Duration.ZERO, 0.0, 1.seconds, 0, 1.seconds, 1.seconds, 0.0),
-        )
+        val addresses = List(ADDRESSES) { ServerSocket(0).use { "$LOOPBACK:${it.localPort}" } }
+        val text = """
+            instance: training
+            data-centre: training
+            first-start: true
+            listen: { callers: "${addresses[0]}", readiness: "${addresses[1]}", metrics: "${addresses[2]}" }
+            peer-port: ${addresses.last().substringAfter(':')}
+            store: "${addresses.last()}"
+            prefill-tokens-per-ms: 1
+            bounds:
+              { key-withdrawal-ms: 1000, stop-grace-s: 1, retry-ratio: 0, retry-window-s: 1, retry-allowance: 0,
+                order-lease-ms: 1, weights-deadline-ms: 1, quota-overage: 0 }
+        """.trimIndent()
+        return GatewaySettingsFile.parse(text).fold({ error(it.joinToString()) }, { it })
     }
 
     private const val ADDRESSES = 4
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointClient.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointClient.kt
@@ -2,6 +2,7 @@
 
 import okhttp3.Call
 import okhttp3.ConnectionPool
+import okhttp3.ConnectionSpec
 import okhttp3.EventListener
 import okhttp3.Headers
 import okhttp3.Interceptor
@@ -56,6 +57,8 @@
     }
 
     private val client = OkHttpClient.Builder()
+        // Loading the certificates for TLS takes a good part of the start.
+        .connectionSpecs(listOf(ConnectionSpec.CLEARTEXT))
         // A late or extra answer on a kept connection would belong to another request.
         .connectionPool(ConnectionPool(0, 1, TimeUnit.SECONDS))
         .retryOnConnectionFailure(false)
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
@@ -1,6 +1,7 @@
 package org.celerywalk.gateway
 
 import okhttp3.ConnectionPool
+import okhttp3.ConnectionSpec
 import okhttp3.OkHttpClient
 import org.celerywalk.instance.SuspendAwareTimeSource
 import org.celerywalk.platform.wire.PlatformCalls
@@ -10,6 +11,8 @@
 import org.celerywalk.routing.ServiceEndpointChooser
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.locks.LockSupport
+import java.util.logging.Level
+import java.util.logging.Logger
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -39,6 +42,8 @@
 
     /** Starts everything; the process reports that it is ready once it knows the fleet. */
     public fun start() {
+        // Libraries log through java.util.logging here, which starts faster than tinylog; events go to the EventLog.
+        Logger.getLogger("").level = Level.WARNING
         log.write("start", "data_centre" to settings.dataCentre, "callers" to settings.callers)
         metrics.gauge("celerywalk.requests.open") { handler.open }
         metrics.gauge("celerywalk.log.dropped") { log.droppedLines }
@@ -87,6 +92,7 @@
     )
 
     private fun controlClient() = OkHttpClient.Builder()
+        .connectionSpecs(listOf(ConnectionSpec.CLEARTEXT))
         .connectionPool(ConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_SECONDS, TimeUnit.SECONDS))
         .retryOnConnectionFailure(false)
         .followRedirects(false)
