--- a/gateway/src/main/kotlin/org/celerywalk/gateway/Admission.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/Admission.kt
@@ -35,10 +35,13 @@
     private val confirmationLimit = state.settings.bounds.keyWithdrawal - CONFIRMATION_MARGIN
 
     fun admit(exchange: CallerExchange): Either<Refusal, AdmittedRequest> {
-        val active = state.active ?: return Refusal(UNAVAILABLE, "no_configuration", RETRY_SOON).left()
-        val route = active.routes.find(exchange.host, exchange.path)
-            ?: return (if (current()) Refusal(NOT_FOUND, "no_route") else stale()).left()
-        return account(active, route, exchange).flatMap { account -> checked(active, route, account, exchange) }
+        val active = state.active
+        val route = active?.routes?.find(exchange.host, exchange.path)
+        return when {
+            active == null -> Refusal(UNAVAILABLE, "no_configuration", RETRY_SOON).left()
+            route == null -> (if (current()) Refusal(NOT_FOUND, "no_route") else stale()).left()
+            else -> account(active, route, exchange).flatMap { account -> checked(active, route, account, exchange) }
+        }
     }
 
     private fun checked(
@@ -49,11 +52,13 @@
     ): Either<Refusal, AdmittedRequest> {
         val limits = active.configuration.limits
         val headerBytes = exchange.headers.sumOf { (name, value) -> name.length + value.length + SEPARATOR_BYTES }
-        if (headerBytes > limits.maxHeaderBytes + exchange.target.length) {
-            return Refusal(HEADERS_TOO_LARGE, "headers_too_large").left()
+        val tooLarge = headerBytes > limits.maxHeaderBytes + exchange.target.length
+        val body = if (tooLarge) null else exchange.readBody(limits.maxBodyBytes)
+        return when {
+            tooLarge -> Refusal(HEADERS_TOO_LARGE, "headers_too_large").left()
+            body == null -> Refusal(TOO_LARGE, "body_too_large").left()
+            else -> charge(active, route, account, exchange, body)
         }
-        val body = exchange.readBody(limits.maxBodyBytes) ?: return Refusal(TOO_LARGE, "body_too_large").left()
-        return charge(active, route, account, exchange, body)
     }
 
     private fun charge(
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/AnswerRelay.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/AnswerRelay.kt
@@ -20,7 +20,8 @@
 
     /** Passes [response] on, or says why it could not be. [onAnswer] is called at the first byte of the body. */
     fun relay(response: Response, meta: EndpointAnswer, onAnswer: () -> Unit): Verdict = when {
-        meta.attemptId != null && meta.attemptId != exchange.caller.attemptId -> Verdict.Lost("answer of another request")
+        meta.attemptId != null && meta.attemptId != exchange.caller.attemptId ->
+            Verdict.Lost("answer of another request")
         route.kind == RequestKind.STREAMING && response.code == OK -> stream(response, onAnswer)
         exchange.answer.committed -> Verdict.Lost("status_${response.code} for the rest of a stream")
         else -> whole(response, onAnswer)
@@ -40,8 +41,11 @@
             return Verdict.Lost("body: ${e.message}")
         }
         onAnswer()
-        val answer = WholeEndpointAnswer(response.code, response.fields(), body)
-        if (response.code >= FIRST_ERROR) return Verdict.Failed(answer)
+        return finish(WholeEndpointAnswer(response.code, response.fields(), body))
+    }
+
+    private fun finish(answer: WholeEndpointAnswer): Verdict {
+        if (answer.status >= FIRST_ERROR) return Verdict.Failed(answer)
         write(answer)
         return Verdict.Answered
     }
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointClient.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointClient.kt
@@ -84,16 +84,19 @@
             .build()
         val target = built.url.encodedPath + built.url.encodedQuery?.let { "?$it" }.orEmpty()
         if (target != request.target) return null
-        val used = if (silence == null) client else client.newBuilder().readTimeout(silence.inWholeMilliseconds, TimeUnit.MILLISECONDS).build()
-        return used.newCall(built)
+        return (if (silence == null) client else withSilence(silence)).newCall(built)
     }
 
+    private fun withSilence(silence: Duration) =
+        client.newBuilder().readTimeout(silence.inWholeMilliseconds, TimeUnit.MILLISECONDS).build()
+
     /** Makes [call] and waits for the head of the answer. */
     fun send(call: Call): SendResult = try {
         SendResult.Answered(call.execute())
     } catch (e: IOException) {
         val cause = e.message ?: e.javaClass.simpleName
-        if (call.request().tag(SendMark::class.java)?.sent == true) SendResult.Lost(cause) else SendResult.NotSent(cause)
+        val sent = call.request().tag(SendMark::class.java)?.sent == true
+        if (sent) SendResult.Lost(cause) else SendResult.NotSent(cause)
     }
 
     private fun body(request: EndpointRequest): RequestBody? = when {
--- /dev/null
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointSend.kt
@@ -0,0 +1,134 @@
+package org.celerywalk.gateway
+
+import okhttp3.Call
+import org.celerywalk.endpoint.RegisteredEndpoint
+import org.celerywalk.platform.wire.EndpointAnswer
+import org.celerywalk.platform.wire.ForwardedHeaders
+import org.celerywalk.platform.wire.ForwardedRequest
+import org.celerywalk.route.RequestKind
+import org.celerywalk.route.Route
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Sends the request of [exchange] to single endpoints and judges how that ended. */
+internal class EndpointSend(
+    private val exchange: CallerExchange,
+    private val route: Route,
+    private val body: ByteArray,
+    private val relay: AnswerRelay,
+    private val state: FleetState,
+    private val calls: EndpointCalls,
+) {
+    /**
+     * Sends once to [endpoint].
+     *
+     * @param atMost time after which the send is given up, or null to wait for the end of the request.
+     * @param onAnswer called at the first byte of the answer's body.
+     */
+    fun send(
+        endpoint: RegisteredEndpoint,
+        forwarded: ForwardedRequest,
+        atMost: Duration?,
+        onAnswer: () -> Unit,
+    ): Verdict {
+        val fields = ForwardedHeaders.encode(exchange.headers, forwarded)
+        val request = EndpointRequest(exchange.method, exchange.target, fields, body)
+        val silence = STREAM_SILENCE.takeIf { route.kind == RequestKind.STREAMING && route.repeatable }
+        val call = calls.client.prepare(endpoint.address, request, silence)
+            ?: return Verdict.Unplaced("path_not_canonical", Duration.ZERO)
+        atMost?.let { call.timeout().timeout(it.inWholeMilliseconds.coerceAtLeast(1), TimeUnit.MILLISECONDS) }
+        exchange.attach(call)
+        return judge(endpoint, call, onAnswer).also { log(endpoint, it) }
+    }
+
+    private fun judge(endpoint: RegisteredEndpoint, call: Call, onAnswer: () -> Unit): Verdict {
+        val sentAt = exchange.elapsed()
+        val verdict = when (val result = calls.client.send(call)) {
+            is SendResult.NotSent -> Verdict.NotRun(result.cause, arrived = false)
+            is SendResult.Lost -> Verdict.Lost(result.cause)
+            is SendResult.Answered -> result.response.use { response ->
+                val meta = EndpointAnswer.decode(response.code) { response.header(it) }
+                learn(endpoint, meta)
+                if (meta.notExecuted) {
+                    notExecuted(endpoint, response.code, meta)
+                } else {
+                    relay.relay(response, meta, onAnswer)
+                }
+            }
+        }
+        record(endpoint, verdict, exchange.elapsed() - sentAt)
+        return verdict
+    }
+
+    private fun record(endpoint: RegisteredEndpoint, verdict: Verdict, time: Duration) {
+        val load = state.loads.of(endpoint.id)
+        when {
+            exchange.cut != null && time < patience(endpoint) -> Unit
+            verdict.unreachable -> if (load.health.failed()) {
+                calls.log.write("endpoint_ejected", "endpoint" to endpoint.id, "service" to endpoint.service)
+            }
+            else -> load.health.answered(error = verdict is Verdict.Failed)
+        }
+        if (verdict is Verdict.Answered && exchange.caller.model == null) load.answeredAfter(time)
+    }
+
+    // A call that ends sooner than this, because its caller's time is up, says nothing about the endpoint.
+    private fun patience(endpoint: RegisteredEndpoint): Duration = if (exchange.caller.model != null) {
+        GENERATION_PATIENCE
+    } else {
+        maxOf(SHORTEST_PATIENCE, state.loads.of(endpoint.id).averageServiceTime * PATIENCE_FACTOR)
+    }
+
+    private fun learn(endpoint: RegisteredEndpoint, meta: EndpointAnswer) {
+        val model = exchange.caller.model ?: return
+        val same = meta.endpointId == null || meta.endpointId == endpoint.id
+        meta.weightsVersion?.takeIf { same }?.let { state.loads.of(endpoint.id).sawVersion(model, it) }
+    }
+
+    // Other weights than expected, or none while they are being changed: the replica's report tells.
+    private fun notExecuted(endpoint: RegisteredEndpoint, status: Int, meta: EndpointAnswer): Verdict {
+        val load = state.loads.of(endpoint.id)
+        if (exchange.caller.model != null && status == MISDIRECTED && meta.weightsVersion == null) {
+            calls.replicas.report(endpoint.address, REPORT_TIMEOUT).onRight { report ->
+                report.versions.forEach { (model, version) -> load.sawVersion(model, version) }
+            }
+        }
+        if (exchange.caller.model != null && status == UNAVAILABLE) load.startedWeightChange(FULL_HOLDS)
+        return Verdict.NotRun("status_$status", arrived = true)
+    }
+
+    private fun log(endpoint: RegisteredEndpoint, verdict: Verdict) {
+        val (outcome, reason) = when (verdict) {
+            is Verdict.NotRun -> "not_run" to verdict.reason
+            is Verdict.Lost -> "lost" to verdict.reason
+            is Verdict.Failed -> "failed" to "status_${verdict.answer.status}"
+            else -> "answered" to null
+        }
+        calls.metrics.sent(endpoint.service, outcome)
+        calls.log.write(
+            "request_sent",
+            "id" to exchange.caller.attemptId,
+            "endpoint" to endpoint.id,
+            "outcome" to outcome,
+            "reason" to reason,
+            "ms" to exchange.elapsed().inWholeMilliseconds,
+        )
+    }
+
+    private companion object {
+        const val MISDIRECTED = 421
+        const val UNAVAILABLE = 503
+        val REPORT_TIMEOUT = 200.milliseconds
+
+        // A replica that is full or changes its weights gets other work only after this time.
+        val FULL_HOLDS = 250.milliseconds
+        val GENERATION_PATIENCE = 2.seconds
+        val SHORTEST_PATIENCE = 200.milliseconds
+        const val PATIENCE_FACTOR = 8
+
+        // Callers give up a stream after a gap of two seconds.
+        val STREAM_SILENCE = 1.5.seconds
+    }
+}
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
@@ -13,7 +13,6 @@
 import java.util.concurrent.locks.LockSupport
 import java.util.logging.Level
 import java.util.logging.Logger
-import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -27,7 +26,7 @@
     private val table = PlatformTable(calls, settings.store.toString())
     private val replicas = ReplicaCalls(calls)
     private val membership = Membership(settings, table, timeSource, log)
-    private val state = FleetState(settings, timeSource, membership::count, membership::quotaShare)
+    private val state = FleetState(settings, timeSource, { membership.count }, membership::quotaShare)
     private val lease = OrderLeaseKeeper(settings, table, timeSource, log)
     private val store: StoreDuties = StoreDuties(state, table, log) { weights.runSoon() }
     private val peers = PeerExchange(state, membership, log) { lease.holds && store.readWithin(LEASE_CLAIM) }
@@ -75,21 +74,18 @@
 
     private fun pause(time: Duration) = LockSupport.parkNanos(time.inWholeNanoseconds)
 
-    private fun forwardingParts() = ForwardingParts(
-        state,
-        EndpointClient(),
-        replicas,
-        GenerationPlacement(
+    private fun forwardingParts(): ForwardingParts {
+        val speed = settings.prefillTokensPerMilli
+        val chooser = ModelReplicaChooser(timeSource, state.loads, state.locations, settings.dataCentre, speed)
+        return ForwardingParts(
             state,
-            ModelReplicaChooser(timeSource, state.loads, state.locations, settings.dataCentre, settings.prefillTokensPerMilli),
-            log,
-            peers::placed,
-        ),
-        ServiceEndpointChooser(state.loads, settings.dataCentre),
-        log,
-        metrics,
-        Random.Default,
-    )
+            EndpointCalls(EndpointClient(), replicas, log, metrics),
+            EndpointChoosers(
+                GenerationPlacement(state, chooser, log, peers::placed),
+                ServiceEndpointChooser(state.loads, settings.dataCentre),
+            ),
+        )
+    }
 
     private fun controlClient() = OkHttpClient.Builder()
         .connectionSpecs(listOf(ConnectionSpec.CLEARTEXT))
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewaySettingsFile.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewaySettingsFile.kt
@@ -81,5 +81,6 @@
         }
     }
 
-    private val PORTS = 0..65_535
+    private const val LAST_PORT = 65_535
+    private val PORTS = 0..LAST_PORT
 }
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/Membership.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/Membership.kt
@@ -17,6 +17,7 @@
 ) : AutoCloseable {
     private class Member(val address: SocketAddress, var heardAt: TimeMark?)
 
+    private val own = "${settings.callers.host}:${settings.peerPort}"
     private val members = ConcurrentHashMap<String, Member>()
     private val duty = PeriodicDuty("members", READ_PERIOD, log, ::read)
     private var reads = 0
@@ -38,10 +39,10 @@
     }
 
     /** Addresses of the other gateways. */
-    fun others(): List<SocketAddress> = members.values.map { it.address }
+    val others: List<SocketAddress> get() = members.values.map { it.address }
 
     /** Number of gateways, this one included. */
-    fun count(): Int = members.size + 1
+    val count: Int get() = members.size + 1
 
     /** Records a message of gateway [peer] from [address]. */
     fun heard(peer: String, address: SocketAddress) {
@@ -66,7 +67,7 @@
                 val rows = reading.rows.associate { it.key to it.value.decodeToString() }
                 members.keys.retainAll(rows.keys)
                 rows.filterKeys { it != settings.instance }.forEach { (name, address) -> update(name, address) }
-                if (rows[settings.instance] != own()) register()
+                if (rows[settings.instance] != own) register()
             },
         )
     }
@@ -88,14 +89,12 @@
     }
 
     private fun register() {
-        table.write(RowWrite(MEMBERS_TABLE, settings.instance, own().toByteArray(), null), CALL_TIMEOUT).fold(
+        table.write(RowWrite(MEMBERS_TABLE, settings.instance, own.toByteArray(), null), CALL_TIMEOUT).fold(
             { log.write("member_register_failed", "step" to it.step, "peer" to it.peer, "cause" to it.message) },
-            { log.write("member_registered", "address" to own()) },
+            { log.write("member_registered", "address" to own) },
         )
     }
 
-    private fun own() = "${settings.callers.host}:${settings.peerPort}"
-
     private companion object {
         const val MEMBERS_TABLE = "gateways"
         val READ_PERIOD = 2.seconds
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/OrderLeaseKeeper.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/OrderLeaseKeeper.kt
@@ -9,17 +9,25 @@
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
 
 /** Keeps the lease for giving orders in the platform's table. Used by one thread. */
 internal class OrderLeaseKeeper(
     private val settings: GatewaySettings,
     private val table: PlatformTable,
-    private val timeSource: kotlin.time.TimeSource.WithComparableMarks,
+    private val timeSource: TimeSource.WithComparableMarks,
     private val log: EventLog,
 ) {
-    private class Held(val lease: OrderLease, val rowVersion: Long, val storeMillis: Long, val readAt: ComparableTimeMark)
+    private class Held(
+        val lease: OrderLease,
+        val rowVersion: Long,
+        val storeMillis: Long,
+        val readAt: ComparableTimeMark,
+    )
+
+    private val takeOverAfter = settings.bounds.orderLease + TAKE_OVER_MARGIN
+    private val policy = LeasePolicy(settings.instance, takeOverAfter.inWholeMilliseconds)
 
-    private val policy = LeasePolicy(settings.instance, (settings.bounds.orderLease + TAKE_OVER_MARGIN).inWholeMilliseconds)
     @Volatile
     private var held: Held? = null
     private var renewedAt: ComparableTimeMark? = null
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/PeerExchange.kt
@@ -68,7 +68,7 @@
     }
 
     private fun send() {
-        val peers = membership.others()
+        val peers = membership.others
         if (peers.isEmpty()) return
         val message = json.writeValueAsBytes(message())
         peers.forEach { peer ->
@@ -158,7 +158,7 @@
         }
         root.path(VERSIONS).properties().forEach { (endpoint, models) ->
             val load = state.loads.all()[endpoint]
-            if (load != null) models.properties().forEach { (model, version) -> load.sawVersion(model, version.asInt()) }
+            models.properties().forEach { (model, version) -> load?.sawVersion(model, version.asInt()) }
         }
         root.path(CHANGING).forEach { state.loads.all()[it.asText()]?.startedWeightChange(CHANGE_REPORT_HOLDS) }
         root.path(WEIGHT_AGES).properties().forEach { (model, ages) ->
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/StoreDuties.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/StoreDuties.kt
@@ -1,9 +1,13 @@
 package org.celerywalk.gateway
 
+import org.celerywalk.endpoint.RegisteredEndpoint
+import org.celerywalk.fleet.FleetConfiguration
 import org.celerywalk.platform.wire.CallError
 import org.celerywalk.platform.wire.FleetDocument
 import org.celerywalk.platform.wire.PlatformTable
+import org.celerywalk.platform.wire.RegistryDocument
 import org.celerywalk.platform.wire.StoredRow
+import java.util.concurrent.locks.LockSupport
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -58,18 +62,20 @@
 
     // Returns false if the row could not be put in force.
     private fun apply(row: StoredRow): Boolean = when {
-        row.key == CONFIGURATION_KEY -> FleetDocument.configuration(row.value)?.let(::adopt) ?: unreadable(row)
+        row.key == CONFIGURATION_KEY ->
+            FleetDocument.configuration(row.value)?.let(::adopt) ?: false.also { log.unreadable(row) }
         row.key.startsWith(WEIGHTS_PREFIX) -> FleetDocument.namedWeights(row.value)?.let { weights ->
             if (state.name(weights)) {
                 log.write("weights_named", "model" to weights.model, "version" to weights.version)
                 onWeightsNamed()
             }
             true
-        } ?: unreadable(row)
+        } ?: false.also { log.unreadable(row) }
         else -> true
     }
 
-    private fun adopt(configuration: org.celerywalk.fleet.FleetConfiguration): Boolean {
+    // Returns false if another version is in force.
+    private fun adopt(configuration: FleetConfiguration): Boolean {
         if (state.adopt(configuration)) {
             log.write(
                 "configuration_adopted",
@@ -81,16 +87,11 @@
         return state.active?.configuration?.version == configuration.version
     }
 
-    private fun unreadable(row: StoredRow): Boolean {
-        log.write("row_unreadable", "table" to row.table, "key" to row.key, "row_version" to row.version)
-        return false
-    }
-
     private fun readRegistry() {
         table.read(REGISTRY_TABLE, READ_TIMEOUT).fold(::unreachable) { reading ->
             reachable()
             val entries = reading.rows.mapNotNull { row ->
-                FleetDocument.endpoint(row.key, row.value).also { if (it == null) unreadable(row) }
+                RegistryDocument.endpoint(row.key, row.value).also { if (it == null) log.unreadable(row) }
             }
             registryChanges.seen(reading.storeVersion)
             val change = state.directory.read(entries)
@@ -108,7 +109,7 @@
         }
     }
 
-    private fun logEndpoint(event: String, endpoint: org.celerywalk.endpoint.RegisteredEndpoint) {
+    private fun logEndpoint(event: String, endpoint: RegisteredEndpoint) {
         log.write(event, "endpoint" to endpoint.id, "service" to endpoint.service, "address" to endpoint.address)
     }
 
@@ -131,7 +132,10 @@
         private fun await() {
             val after = version
             this@StoreDuties.table.awaitChange(table, after, FEED_WAIT).fold(
-                { error -> if (error.status == HISTORY_GONE) onChange() else unreachable(error) },
+                { error ->
+                    if (error.status == HISTORY_GONE) onChange() else unreachable(error)
+                    LockSupport.parkNanos(ERROR_PAUSE.inWholeNanoseconds)
+                },
                 { newest ->
                     if (newest > after) {
                         log.write("store_changed", "table" to table, "version" to newest, "before" to after)
@@ -161,12 +165,18 @@
         const val HISTORY_GONE = 410
 
         // Keys may be used for a few seconds after the last confirmation; each reading costs a call to the store.
-        val CONFIRMATION_PERIOD = 1200.milliseconds
+        val CONFIRMATION_PERIOD = 1400.milliseconds
 
         // Changes are told by the feed; readings at this pace make up for a feed that is silent.
         val REGISTRY_PERIOD = 2.seconds
         val READ_TIMEOUT = 900.milliseconds
         val FEED_WAIT = 5.seconds
         val FEED_PAUSE = 100.milliseconds
+
+        // Refused calls cost as much as others.
+        val ERROR_PAUSE = 1.seconds
     }
 }
+
+private fun EventLog.unreadable(row: StoredRow) =
+    write("row_unreadable", "table" to row.table, "key" to row.key, "row_version" to row.version)
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/WatchedEndPoint.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/WatchedEndPoint.kt
@@ -64,11 +64,10 @@
     }
 
     override fun fill(buffer: ByteBuffer): Int {
-        synchronized(lock) {
-            if (ahead.hasRemaining()) return BufferUtil.append(buffer, ahead)
-            if (ended) return -1
+        val kept = synchronized(lock) {
+            if (ahead.hasRemaining()) BufferUtil.append(buffer, ahead) else if (ended) -1 else 0
         }
-        return super.fill(buffer)
+        return if (kept != 0) kept else super.fill(buffer)
     }
 
     override fun fillInterested(callback: Callback) {
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/WeightsDuty.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/WeightsDuty.kt
@@ -46,13 +46,15 @@
         loading.keys.toList().forEach { check(endpoints.getValue(it)) }
         if (othersGiveOrders()) return
         state.weights.forEach { weights ->
-            val service = active.configuration.services.values.find { weights.model in it.engine?.models.orEmpty() }
+            val services = active.configuration.services.values
+            val service = services.find { weights.model in it.engine?.models.orEmpty() }
             if (service != null) rollOut(weights, state.directory.serving(service.name))
         }
     }
 
     private fun rollOut(weights: NamedWeights, serving: List<RegisteredEndpoint>) {
-        val waiting = rollout.outdated(weights, serving).filter { it.id !in loading && !state.loads.of(it.id).changesWeights }
+        val waiting = rollout.outdated(weights, serving)
+            .filter { it.id !in loading && !state.loads.of(it.id).changesWeights }
         val free = rollout.concurrency(serving.size) - loading.size
         waiting.take(free.coerceAtLeast(0)).forEach { order(it, weights) }
     }
@@ -102,7 +104,8 @@
         val late = at.since.elapsedNow() > CHANGE_AT_MOST
         val idle = report != null && !report.carriesOutOrder && at.since.elapsedNow() > REPORT_LAG
         if (version >= at.weights.version || late || idle) {
-            log.write("weights_order_ended", "endpoint" to replica.id, "version" to version, "after" to at.since.elapsedNow())
+            val after = at.since.elapsedNow()
+            log.write("weights_order_ended", "endpoint" to replica.id, "version" to version, "after" to after)
             if (version > 0) state.loads.of(replica.id).sawVersion(at.weights.model, version)
             ended(replica.id)
         }
--- a/library/src/main/kotlin/org/celerywalk/routing/ModelReplicaChooser.kt
+++ b/library/src/main/kotlin/org/celerywalk/routing/ModelReplicaChooser.kt
@@ -14,8 +14,8 @@
 import kotlin.time.TimeSource
 
 /**
- * Chooses a model replica by its expected time to the first token, and by what the choice costs: shared parts that would
- * be read again although another replica keeps them, and answers on superseded weights.
+ * Chooses a model replica by its expected time to the first token, and by what the choice costs: shared parts that
+ * would be read again although another replica keeps them, and answers on superseded weights.
  */
 public class ModelReplicaChooser(
     private val timeSource: TimeSource.WithComparableMarks,
