Keep callers' connections open after an answer; tests for the gateway, its decisions and the wire

Cause: GatewayTest failed on the second call of a connection. Jetty closes a connection that waits for bytes when a request ends ("Pending read in onCompleted"); the watch for leaving callers is such a wait, so every answered request cost its connection. Ruled out: the endpoint's own close (log: closed by HttpConnection after the answer). Change: WatchedEndPoint reports only Jetty's own interest; a read by the watch hands over a callback that arrives meanwhile, which could be lost before.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/WatchedEndPoint.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/WatchedEndPoint.kt
@@ -43,6 +43,7 @@
     private var ahead = ByteBuffer.allocate(0)
     private var ended = false
     private var registered = false
+    private var reading = false
     private var reader: Callback? = null
     private var onLeft: (() -> Unit)? = null
 
@@ -50,7 +51,7 @@
     fun watch(onLeft: () -> Unit) {
         val register = synchronized(lock) {
             this.onLeft = onLeft
-            val needed = !registered && !ended && ahead.remaining() < READ_AHEAD_BYTES
+            val needed = !registered && !reading && !ended && ahead.remaining() < READ_AHEAD_BYTES
             if (needed) registered = true
             needed
         }
@@ -77,11 +78,16 @@
     override fun tryFillInterested(callback: Callback): Boolean =
         takesOver(callback) || super.tryFillInterested(callback)
 
+    // Jetty closes a connection that still waits for bytes when a request ends; the watch's own wait does not count.
+    override fun isFillInterested(): Boolean = super.isFillInterested() &&
+        synchronized(lock) { !registered || reader != null }
+
+    // Keeps Jetty's callback while the watch has a read of its own in progress.
     private fun takesOver(callback: Callback): Boolean {
         val ready = synchronized(lock) {
             val ready = ahead.hasRemaining() || ended
-            if (!ready && registered) reader = callback
-            if (!ready && !registered) return false
+            if (!ready && !registered && !reading) return false
+            if (!ready) reader = callback
             ready
         }
         if (ready) executor.execute(callback::succeeded)
@@ -92,6 +98,7 @@
         override fun succeeded() {
             val next = synchronized(lock) {
                 registered = false
+                reading = reader == null
                 reader.also { reader = null }
             }
             if (next != null) next.succeeded() else readAhead()
@@ -110,18 +117,19 @@
     private fun readAhead() {
         val buffer = BufferUtil.allocate(READ_AHEAD_BYTES)
         val count = super.fill(buffer)
-        val again = synchronized(lock) {
-            when {
-                count < 0 -> ended = true
-                count > 0 -> ahead = joined(buffer)
-            }
-            val next = reader
-            if (next != null) reader = null
-            next?.let { executor.execute(it::succeeded) }
-            (next == null && count >= 0 && ahead.remaining() < READ_AHEAD_BYTES && onLeft != null)
-                .also { if (it) registered = true }
+        val next = synchronized(lock) {
+            reading = false
+            if (count < 0) ended = true else if (count > 0) ahead = joined(buffer)
+            val again = reader == null && count >= 0 && ahead.remaining() < READ_AHEAD_BYTES && onLeft != null
+            registered = again
+            if (again) readable else reader.also { reader = null }
+        }
+        when {
+            next == null -> Unit
+            next === readable || count == 0 -> super.fillInterested(next)
+            else -> executor.execute(next::succeeded)
         }
-        if (count < 0) left() else if (again) super.fillInterested(readable)
+        if (count < 0) left()
     }
 
     private fun joined(more: ByteBuffer): ByteBuffer =
--- /dev/null
+++ b/library/src/test/kotlin/org/celerywalk/account/FleetQuotaTest.kt
@@ -0,0 +1,95 @@
+package org.celerywalk.account
+
+import io.kotest.common.ExperimentalKotest
+import io.kotest.common.runBlocking
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.int
+import io.kotest.property.arbitrary.list
+import io.kotest.property.checkAll
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
+
+/** Guards against an account that sends several times its rate through all gateways at once (hot account). */
+@OptIn(ExperimentalKotest::class)
+class FleetQuotaTest {
+    private val time = TestTimeSource()
+
+    @Test
+    fun `in any window all gateways admit no more than rate and burst and what reports are late by`() {
+        runBlocking {
+            checkAll(PropTestConfig(seed = 41, iterations = 100), Arb.list(Arb.int(0..3), 200..400)) { senders ->
+                val gateways = List(GATEWAYS) { quota() }
+                val admitted = ArrayList<Pair<Int, Double>>()
+                senders.forEachIndexed { step, sender ->
+                    time += STEP
+                    // The hot account offers ten times its rate.
+                    if (gateways[sender].admit(COST) is QuotaDecision.Admitted) admitted += step to COST
+                    if (step % REPORT_STEPS == 0) exchange(gateways)
+                }
+                val window = 8.seconds
+                val steps = (window / STEP).toInt()
+                val late = REPORT_STEPS * COST
+                senders.indices.forEach { from ->
+                    val sum = admitted.filter { it.first in from until from + steps }.sumOf { it.second }
+                    assertTrue(sum <= RATE * 8 + BURST + late, "$sum admitted in the window from step $from")
+                }
+            }
+        }
+    }
+
+    @Test
+    fun `a refusal names the time after which the request fits`() {
+        val quota = quota()
+        while (quota.admit(COST) is QuotaDecision.Admitted) continue
+        val refused = assertIs<QuotaDecision.Refused>(quota.admit(COST))
+        time += refused.retryAfter + 1.milliseconds
+        assertIs<QuotaDecision.Admitted>(quota.admit(COST))
+    }
+
+    @Test
+    fun `a lost report is made up for by the next one`() {
+        val quota = quota()
+        quota.reported("peer", 0.0)
+        quota.reported("peer", BURST)
+        assertIs<QuotaDecision.Refused>(quota.admit(COST))
+    }
+
+    @Test
+    fun `a request that has not run gives its cost back`() {
+        val quota = quota()
+        repeat((BURST / COST).toInt()) { assertEquals(QuotaDecision.Admitted, quota.admit(COST)) }
+        quota.refund(COST)
+        assertIs<QuotaDecision.Admitted>(quota.admit(COST))
+        assertIs<QuotaDecision.Refused>(quota.admit(COST))
+    }
+
+    @Test
+    fun `gateways that are cut off from each other use only their part`() {
+        val quota = FleetQuota(time) { 0.5 }.apply { configure(RATE, BURST, startLevel = 0.0) }
+        time += 10.seconds
+        var admitted = 0.0
+        while (quota.admit(COST) is QuotaDecision.Admitted) admitted += COST
+        assertTrue(admitted <= BURST / 2, "$admitted of $BURST")
+    }
+
+    private fun quota() = FleetQuota(time) { 1.0 }.apply { configure(RATE, BURST, startLevel = 1.0) }
+
+    private fun exchange(gateways: List<FleetQuota>) = gateways.forEachIndexed { i, to ->
+        gateways.forEachIndexed { j, from -> if (i != j) to.reported("gateway-$j", from.admittedTotal) }
+    }
+
+    private companion object {
+        const val GATEWAYS = 4
+        const val RATE = 1_000.0
+        const val BURST = 1_000.0
+        const val COST = 100.0
+        const val REPORT_STEPS = 10
+        val STEP = 10.milliseconds
+    }
+}
--- /dev/null
+++ b/library/src/test/kotlin/org/celerywalk/cache/PartLocationsTest.kt
@@ -0,0 +1,53 @@
+package org.celerywalk.cache
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
+
+/** Guards against placement by parts that a holder does not keep any more. */
+class PartLocationsTest {
+    private val time = TestTimeSource()
+    private val locations = PartLocations(time, assumedFor = 2.seconds)
+    private val scope = CacheScope.of("m", 1, null)
+    private val parts = listOf(PromptPart("a", 800), PromptPart("b", 410), PromptPart("c", 250))
+
+    @Test
+    fun `only a stretch from the first part on counts, and whole blocks suffice`() {
+        locations.changed("r", scope.text, "a", 800)
+        locations.changed("r", scope.text, "c", 250)
+        assertEquals(800, locations.prefixTokens("r", scope, parts))
+        locations.changed("r", scope.text, "b", 400)
+        assertEquals(1_450, locations.prefixTokens("r", scope, parts))
+    }
+
+    @Test
+    fun `a removal that leaves a remainder ends the stretch`() {
+        parts.forEach { locations.changed("r", scope.text, it.id, it.tokens) }
+        locations.changed("r", scope.text, "a", 128)
+        assertEquals(128, locations.prefixTokens("r", scope, parts))
+    }
+
+    @Test
+    fun `parts that were sent count for a while, and not after a removal or a new start`() {
+        locations.sent("r", scope, parts)
+        assertEquals(1_460, locations.prefixTokens("r", scope, parts))
+        assertEquals(0, locations.prefixTokens("r", scope, parts, sentBefore = 1.seconds))
+        locations.changed("r", scope.text, "a", 0)
+        assertEquals(0, locations.prefixTokens("r", scope, parts))
+        locations.sent("r", scope, parts)
+        time += 3.seconds
+        assertEquals(0, locations.prefixTokens("r", scope, parts))
+        locations.sent("r", scope, parts)
+        locations.reset("r", epoch = 2)
+        assertEquals(0, locations.prefixTokens("r", scope, parts))
+    }
+
+    @Test
+    fun `scopes of other weights and of isolated accounts are apart`() {
+        locations.sent("r", scope, parts)
+        listOf(CacheScope.of("m", 2, null), CacheScope.of("m", 1, "x"), CacheScope.of("n", 1, null)).forEach {
+            assertEquals(0, locations.prefixTokens("r", it, parts))
+        }
+    }
+}
--- /dev/null
+++ b/library/src/test/kotlin/org/celerywalk/endpoint/EndpointDirectoryTest.kt
@@ -0,0 +1,46 @@
+package org.celerywalk.endpoint
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
+
+/** Guards against work for endpoints that are gone, and against losing those whose registration lapsed. */
+class EndpointDirectoryTest {
+    private val time = TestTimeSource()
+    private val directory = EndpointDirectory(time, outageAfter = 3.seconds, returnTime = 2.seconds)
+
+    @Test
+    fun `a missing endpoint is gone while the registry is read without a pause`() {
+        directory.read(listOf(endpoint("a"), endpoint("b")))
+        time += 1.seconds
+        val change = directory.read(listOf(endpoint("a")))
+        assertEquals(listOf("b"), change.removed.map { it.id })
+        assertEquals(listOf("a"), directory.serving("s").map { it.id })
+    }
+
+    @Test
+    fun `registrations that lapsed in an outage have time to return`() {
+        directory.read(listOf(endpoint("a"), endpoint("b")))
+        time += 10.seconds
+        directory.read(listOf(endpoint("a")))
+        assertEquals(listOf("a", "b"), directory.serving("s").map { it.id }.sorted())
+        time += 1.seconds
+        directory.read(listOf(endpoint("a")))
+        assertEquals(2, directory.serving("s").size)
+        time += 1.5.seconds
+        directory.read(listOf(endpoint("a")))
+        assertEquals(listOf("a"), directory.serving("s").map { it.id })
+    }
+
+    @Test
+    fun `an endpoint that is leaving takes no work`() {
+        directory.read(listOf(endpoint("a")))
+        val change = directory.read(listOf(endpoint("a").copy(leaving = true)))
+        assertEquals(listOf("a"), change.left.map { it.id })
+        assertEquals(emptyList(), directory.serving("s"))
+    }
+
+    private fun endpoint(id: String) =
+        RegisteredEndpoint(id, "s", "10.0.0.1:80", "dc", slots = 4, leaving = false, null, emptyMap())
+}
--- /dev/null
+++ b/library/src/test/kotlin/org/celerywalk/endpoint/EndpointHealthTest.kt
@@ -0,0 +1,47 @@
+package org.celerywalk.endpoint
+
+import kotlin.test.Test
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
+
+/** Guards against an endpoint that fails requests while its health check is good (slow or failing endpoint). */
+class EndpointHealthTest {
+    private val time = TestTimeSource()
+    private val health = EndpointHealth(time, ejectFor = 1.seconds)
+
+    @Test
+    fun `two failures in a row eject, one does not`() {
+        assertFalse(health.failed())
+        assertTrue(health.failed())
+        assertTrue(health.ejected)
+        time += 1.seconds + 1.milliseconds
+        assertFalse(health.ejected)
+    }
+
+    @Test
+    fun `a failure after the return ejects for twice as long`() {
+        repeat(2) { health.failed() }
+        time += 1.1.seconds
+        assertTrue(health.failed())
+        time += 1.5.seconds
+        assertTrue(health.ejected)
+    }
+
+    @Test
+    fun `an occasional failure among answers does not eject`() {
+        repeat(20) {
+            repeat(4) { health.answered(error = false) }
+            assertFalse(health.failed())
+        }
+    }
+
+    @Test
+    fun `errors of the application do not eject`() {
+        repeat(50) { health.answered(error = true) }
+        assertFalse(health.ejected)
+        assertTrue(health.errorShare > 0.9)
+    }
+}
--- /dev/null
+++ b/library/src/test/kotlin/org/celerywalk/limit/RetryBudgetTest.kt
@@ -0,0 +1,28 @@
+package org.celerywalk.limit
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
+
+/** Guards against a storm of repeated sends while endpoints fail. */
+class RetryBudgetTest {
+    private val time = TestTimeSource()
+    private val budget = RetryBudget(time, 10.seconds, ratio = 0.2) { 3 }
+
+    @Test
+    fun `repeats are bounded by the allowance and a share of the requests`() {
+        repeat(50) { budget.requested() }
+        assertEquals(13, (1..100).count { budget.tryRepeat() })
+    }
+
+    @Test
+    fun `repeats of the last window do not count`() {
+        repeat(3) { assertTrue(budget.tryRepeat()) }
+        assertFalse(budget.tryRepeat())
+        time += 11.seconds
+        assertTrue(budget.tryRepeat())
+    }
+}
--- /dev/null
+++ b/library/src/test/kotlin/org/celerywalk/route/RouteTableTest.kt
@@ -0,0 +1,60 @@
+package org.celerywalk.route
+
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+import kotlin.time.Duration.Companion.seconds
+
+/** Guards against requests that reach a service to which no route sends them. */
+class RouteTableTest {
+    private val table = RouteTable(listOf(route("all", "/a/"), route("deep", "/a/b/"), route("other", "/a/", "two.test")))
+
+    @Test
+    fun `the longest prefix of the host wins`() {
+        val expected = mapOf(
+            ("one.test" to "/a/b/c") to "deep",
+            ("one.test" to "/a/bc") to "all",
+            ("ONE.test:8080" to "/a/b/") to "deep",
+            ("two.test" to "/a/b/c") to "other",
+        )
+        expected.forEach { (request, name) -> assertEquals(name, table.find(request.first, request.second)?.name) }
+    }
+
+    @Test
+    fun `no route matches another host or a shorter path`() {
+        assertNull(table.find("three.test", "/a/b/"))
+        assertNull(table.find("one.test", "/a"))
+    }
+
+    @Test
+    fun `services are drawn by weight`() {
+        val split = route("split", "/s/").copy(targets = listOf(RouteTarget("x", 90), RouteTarget("y", 10)))
+        val random = Random(3)
+        val drawn = List(10_000) { split.drawService(random) }.count { it == "y" }
+        assertEquals(1_000.0, drawn.toDouble(), absoluteTolerance = 150.0)
+    }
+
+    @Test
+    fun `only idempotent requests and resumable streams may run again`() {
+        val base = route("r", "/r/")
+        assertEquals(true, base.repeatable)
+        assertEquals(false, base.copy(kind = RequestKind.NON_IDEMPOTENT).repeatable)
+        assertEquals(false, base.copy(kind = RequestKind.STREAMING).repeatable)
+        assertEquals(true, base.copy(kind = RequestKind.STREAMING, resumable = true).repeatable)
+    }
+
+    private fun route(name: String, prefix: String, host: String = "one.test") = Route(
+        name = name,
+        host = host,
+        prefix = prefix,
+        kind = RequestKind.IDEMPOTENT,
+        targets = listOf(RouteTarget("service", 1)),
+        timeout = 1.seconds,
+        latencyTarget = 1.seconds,
+        priority = 0,
+        maxAttempts = 2,
+        anonymous = false,
+        resumable = false,
+    )
+}
--- /dev/null
+++ b/library/src/test/kotlin/org/celerywalk/routing/ModelReplicaChooserTest.kt
@@ -0,0 +1,130 @@
+package org.celerywalk.routing
+
+import org.celerywalk.cache.CacheScope
+import org.celerywalk.cache.PartLocations
+import org.celerywalk.cache.PromptPart
+import org.celerywalk.endpoint.RegisteredEndpoint
+import org.celerywalk.fleet.CacheStoreDefinition
+import org.celerywalk.fleet.EngineDefinition
+import org.celerywalk.weights.NamedHistory
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
+
+/** Placement under the load patterns that cost most: hot prefix, cold cache, new weights, failing replica. */
+class ModelReplicaChooserTest {
+    private val time = TestTimeSource()
+    private val loads = FleetLoads(time)
+    private val locations = PartLocations(time, assumedFor = 2.seconds)
+    private val chooser = ModelReplicaChooser(time, loads, locations, "dc-1", prefillTokensPerMilli = 45.0)
+    private val weights = NamedHistory(time).apply { name(1) }
+    private val replicas = List(4) { replica("r$it", version = 1) }
+    private val scope = CacheScope.of("m", 1, null)
+    private val generation = Generation(
+        "m",
+        listOf(PromptPart("a", 2_520), PromptPart("b", 3_780), PromptPart("own", 2_890)),
+        promptTokens = 9_190,
+        outputTokens = 20,
+        isolatedAccount = null,
+    )
+
+    @Test
+    fun `hot prefix - requests follow the replica that keeps the parts`() {
+        keeps("r2", scope)
+        assertEquals("r2", choose()?.endpoint?.id)
+        assertEquals(6_300, choose()?.cachedTokens)
+    }
+
+    @Test
+    fun `hot prefix - a busy holder's parts are fetched, not read again`() {
+        keeps("r2", scope)
+        loads.of("r2").add(Work(calls = 20, unreadTokens = 60_000, cacheTokens = 100_000))
+        val placement = assertNotNull(choose())
+        assertNotEquals("r2", placement.endpoint.id)
+        assertEquals("10.0.0.2:80", placement.fetchFrom)
+        assertEquals(6_300, placement.fetchTokens)
+    }
+
+    @Test
+    fun `cold cache - every gateway sends unknown parts to the same replica`() {
+        val choices = List(5) { gateway ->
+            val other = ModelReplicaChooser(time, FleetLoads(time), PartLocations(time, 2.seconds), "dc-$gateway", 45.0)
+            other.choose(generation, replicas, context(), weights, 6.seconds)?.endpoint?.id
+        }
+        assertEquals(1, choices.distinct().size, "$choices")
+    }
+
+    @Test
+    fun `cold cache after the loss of replicas - parts come from the store`() {
+        keeps("172.0.0.1:80", scope)
+        val store = CacheStoreDefinition("172.0.0.1:80", "dc-1")
+        val placement = chooser.choose(generation, replicas, context(store), weights, 6.seconds)
+        assertEquals("172.0.0.1:80", placement?.fetchFrom)
+    }
+
+    @Test
+    fun `parts that were just sent are not fetched before they are read`() {
+        locations.sent("r2", scope, generation.sharedParts)
+        loads.of("r2").add(Work(calls = 60, unreadTokens = 200_000, cacheTokens = 110_000))
+        assertNull(choose()?.fetchFrom)
+        time += 400.milliseconds
+        assertEquals("10.0.0.2:80", choose()?.fetchFrom)
+    }
+
+    @Test
+    fun `isolated accounts never see parts of others`() {
+        keeps("r2", scope)
+        val placement = chooser.choose(generation.copy(isolatedAccount = "x"), replicas, context(), weights, 6.seconds)
+        assertEquals(0, placement?.cachedTokens)
+        assertNull(placement?.fetchFrom)
+    }
+
+    @Test
+    fun `new weights - cache of the old ones counts for nothing and new replicas are preferred in time`() {
+        keeps("r2", scope)
+        weights.name(2)
+        loads.of("r1").sawVersion("m", 2)
+        assertEquals("r2", choose()?.endpoint?.id, "old weights still count fully")
+        time += 1.5.seconds
+        val placement = choose()
+        assertEquals("r1", placement?.endpoint?.id)
+        assertEquals(0, placement?.cachedTokens)
+    }
+
+    @Test
+    fun `new weights - nothing begins on old ones after the bound`() {
+        weights.name(2)
+        time += 6.seconds
+        assertNull(choose())
+        loads.of("r3").sawVersion("m", 2)
+        assertEquals("r3", choose()?.endpoint?.id)
+    }
+
+    @Test
+    fun `a replica that changes its weights or fails gets no work while there are others`() {
+        keeps("r2", scope)
+        loads.of("r2").startedWeightChange(1.seconds)
+        assertNotEquals("r2", choose()?.endpoint?.id)
+        time += 1.1.seconds
+        assertEquals("r2", choose()?.endpoint?.id)
+        repeat(2) { loads.of("r2").health.failed() }
+        assertNotEquals("r2", choose()?.endpoint?.id)
+    }
+
+    private fun choose() = chooser.choose(generation, replicas, context(), weights, 6.seconds)
+
+    private fun keeps(holder: String, scope: CacheScope) =
+        generation.sharedParts.forEach { locations.changed(holder, scope.text, it.id, it.tokens) }
+
+    private fun context(store: CacheStoreDefinition? = null) =
+        EngineContext(EngineDefinition(64, 116_000, 327_680, 550_000.0, listOf("m")), store)
+
+    private fun replica(id: String, version: Int) = RegisteredEndpoint(
+        id, "s", "10.0.0.${id.last()}:80", "dc-1", slots = 64, leaving = false, null, mapOf("m" to version),
+    )
+}
--- /dev/null
+++ b/library/src/test/kotlin/org/celerywalk/weights/NamedHistoryTest.kt
@@ -0,0 +1,37 @@
+package org.celerywalk.weights
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
+
+/** Guards against work on old weights when several versions are named one after the other. */
+class NamedHistoryTest {
+    private val time = TestTimeSource()
+    private val history = NamedHistory(time)
+
+    @Test
+    fun `a version ages from its first successor, not from the newest`() {
+        assertTrue(history.name(1))
+        time += 2.seconds
+        assertTrue(history.name(2))
+        time += 3.seconds
+        assertTrue(history.name(3))
+        time += 4.seconds
+        assertEquals(7.seconds, history.supersededFor(1))
+        assertEquals(4.seconds, history.supersededFor(2))
+        assertNull(history.supersededFor(3))
+    }
+
+    @Test
+    fun `a process that starts late takes the greater age from others`() {
+        history.name(2, 3.seconds)
+        assertFalse(history.name(2, 7.seconds))
+        assertEquals(7.seconds, history.supersededFor(1))
+        history.name(2, 1.seconds)
+        assertEquals(7.seconds, history.supersededFor(1))
+    }
+}
