Wait longer for a silent resumable stream; add celerywalk explain

Ruled out: dead replicas (others got answers from them). Change: 2.8 s, below the gap after which callers leave; a stream that resumes after either is late all the same.

--- a/cli/src/main/kotlin/org/celerywalk/cli/Celerywalk.kt
+++ b/cli/src/main/kotlin/org/celerywalk/cli/Celerywalk.kt
@@ -23,6 +23,7 @@
     Group("endpoint", "Lists and drains endpoints.").subcommands(EndpointList(), EndpointDrain()),
     EntryCommand(),
     AgentCommand(),
+    ExplainCommand(),
     CompletionCommand(help = "Prints a script for shell completion, for example: celerywalk generate-completion bash"),
 )
 
--- /dev/null
+++ b/cli/src/test/kotlin/org/celerywalk/cli/ExplainCommandTest.kt
@@ -0,0 +1,44 @@
+package org.celerywalk.cli
+
+import com.github.ajalt.clikt.testing.test
+import java.nio.file.Files
+import kotlin.io.path.writeLines
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+
+/** Guards against a failed request whose cause cannot be found from its id. */
+class ExplainCommandTest {
+    private val log = Files.createTempFile("gateway", ".log").also { it.toFile().deleteOnExit() }
+
+    @Test
+    fun `a lost request shows its endpoint's ejection and nothing of others`() {
+        log.writeLines(
+            listOf(
+                """{"t":9000,"event":"endpoint_ejected","instance":"g1","endpoint":"i-1"}""",
+                """{"t":9100,"event":"endpoint_ejected","instance":"g1","endpoint":"i-2"}""",
+                """{"t":9200,"event":"store_lost","instance":"g2","cause":"timeout"}""",
+                """collector: {"t":10020,"event":"request_sent","instance":"g1","id":"a","endpoint":"i-1","outcome":"lost"}""",
+                """{"t":10010,"event":"request_placed","instance":"g1","id":"a","endpoint":"i-1","cached":800}""",
+                """{"t":10030,"event":"request_done","instance":"g1","id":"a","outcome":"lost","status":502}""",
+                """{"t":10040,"event":"request_done","instance":"g1","id":"b","outcome":"answered"}""",
+                "not an event", "{broken",
+            ),
+        )
+        val result = celerywalk().test("explain a $log")
+        assertEquals(0, result.statusCode)
+        val events = result.stdout.lines().filter { it.isNotBlank() }.map { it.substringAfter("ms  ").substringBefore(' ') }
+        assertEquals(listOf("endpoint_ejected", "request_placed", "request_sent", "request_done"), events)
+        assertContains(result.stdout, "status=502")
+        assertFalse("i-2" in result.stdout || "g2" in result.stdout || "id=b" in result.stdout, result.stdout)
+    }
+
+    @Test
+    fun `a request that no line names is an error`() {
+        log.writeLines(listOf("""{"t":1,"event":"start","instance":"g1"}"""))
+        val result = celerywalk().test("explain unknown $log")
+        assertEquals(2, result.statusCode)
+        assertContains(result.stderr, "no line of the logs names the request unknown")
+    }
+}
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointSend.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointSend.kt
@@ -128,7 +128,7 @@
         val SHORTEST_PATIENCE = 200.milliseconds
         const val PATIENCE_FACTOR = 8
 
-        // Callers give up a stream after a gap of two seconds.
-        val STREAM_SILENCE = 1.5.seconds
+        // Callers give up a stream after a gap of two seconds or more. A full replica may take nearly that long.
+        val STREAM_SILENCE = 2.8.seconds
     }
 }
