Prove that a lost call is not repeated on a route that allows two endpoints

Cause: with route.repeatable dropped GatewayTest still passed, because its route allowed one endpoint only. Change: the route of requests that may run once allows two; the test is stricter. Shown: GatewayTest passes (10 tests); with the guard dropped 'a lost answer ...' fails; 503 in place of 502, a normal end in place of abort and no watch each fail their test.

--- a/gateway/src/test/kotlin/org/celerywalk/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/GatewayTest.kt
@@ -164,7 +164,7 @@
 
     private fun configuration(version: Int, key: String): String {
         val kinds = mapOf(
-            "once" to """"non_idempotent","max_attempts":1""",
+            "once" to """"non_idempotent","max_attempts":2""",
             "safe" to """"idempotent","max_attempts":2""",
             "stream" to """"streaming","max_attempts":1""",
             "resume" to """"streaming","resumable":true,"max_attempts":2""",
