--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayServer.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayServer.kt
@@ -23,7 +23,7 @@
 /**
  * Serves callers, the platform's readiness checks and the metrics, each on an address of its own.
  *
- * Built on Jetty without Javalin's servlet layer, which takes half of the start and much memory.
+ * Built on Jetty without Javalin's servlet layer, which delays the start of a gateway.
  */
 internal class GatewayServer(
     private val settings: GatewaySettings,
