Move resumable streams off replicas that take new weights

Ruled out: the processor (0.08 cores of 0.57), the store (answers within the period), faults (none at that time). Change: a gateway that orders new weights tells the others at once, and all end their resumable streams at that replica and resume them elsewhere, within half of the retry budget. A quarter of the replicas changes at once, up to a half if time is short by the average time of a change (library: RelocatableStreams, RetryBudget.tryOptionalRepeat, WeightRollout). Seen to fail: GatewayTest without the call in PeerExchange (the stream stayed for 2.8 s).

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointSend.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointSend.kt
@@ -7,6 +7,7 @@
 import org.celerywalk.platform.wire.ForwardedRequest
 import org.celerywalk.route.RequestKind
 import org.celerywalk.route.Route
+import org.celerywalk.stream.RelocatableStream
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -25,12 +26,14 @@
      * Sends once to [endpoint].
      *
      * @param atMost time after which the send is given up, or null to wait for the end of the request.
+     * @param mayRelocate takes a repeated send from the budget, or null if the stream can't go on elsewhere.
      * @param onAnswer called at the first byte of the answer's body.
      */
     fun send(
         endpoint: RegisteredEndpoint,
         forwarded: ForwardedRequest,
         atMost: Duration?,
+        mayRelocate: (() -> Boolean)?,
         onAnswer: () -> Unit,
     ): Verdict {
         val fields = ForwardedHeaders.encode(exchange.headers, forwarded)
@@ -40,12 +43,27 @@
             ?: return Verdict.Unplaced("path_not_canonical", Duration.ZERO)
         atMost?.let { call.timeout().timeout(it.inWholeMilliseconds.coerceAtLeast(1), TimeUnit.MILLISECONDS) }
         exchange.attach(call)
-        return judge(endpoint, call, onAnswer).also { log(endpoint, it) }
+        return relocatable(endpoint, call, mayRelocate) { judge(endpoint, call, onAnswer) }
     }
 
-    private fun judge(endpoint: RegisteredEndpoint, call: Call, onAnswer: () -> Unit): Verdict {
+    private fun relocatable(
+        endpoint: RegisteredEndpoint,
+        call: Call,
+        mayRelocate: (() -> Boolean)?,
+        send: () -> Verdict,
+    ): Verdict {
         val sentAt = exchange.elapsed()
-        val verdict = when (val result = calls.client.send(call)) {
+        val stream = mayRelocate?.let { RelocatableStream(it, call::cancel) }
+        val ended = stream?.let { state.streams.add(endpoint.id, it) }.use { send() }
+        val relocated = ended is Verdict.Lost && stream?.relocated == true && exchange.cut == null
+        val verdict = if (relocated) Verdict.Relocated else ended
+        record(endpoint, verdict, exchange.elapsed() - sentAt)
+        log(endpoint, verdict)
+        return verdict
+    }
+
+    private fun judge(endpoint: RegisteredEndpoint, call: Call, onAnswer: () -> Unit): Verdict =
+        when (val result = calls.client.send(call)) {
             is SendResult.NotSent -> Verdict.NotRun(result.cause, arrived = false)
             is SendResult.Lost -> Verdict.Lost(result.cause)
             is SendResult.Answered -> result.response.use { response ->
@@ -58,14 +76,12 @@
                 }
             }
         }
-        record(endpoint, verdict, exchange.elapsed() - sentAt)
-        return verdict
-    }
 
     private fun record(endpoint: RegisteredEndpoint, verdict: Verdict, time: Duration) {
         val load = state.loads.of(endpoint.id)
         when {
             exchange.cut != null && time < patience(endpoint) -> Unit
+            verdict is Verdict.Relocated -> Unit
             verdict.unreachable -> if (load.health.failed()) {
                 calls.log.write("endpoint_ejected", "endpoint" to endpoint.id, "service" to endpoint.service)
             }
@@ -103,6 +119,7 @@
         val (outcome, reason) = when (verdict) {
             is Verdict.NotRun -> "not_run" to verdict.reason
             is Verdict.Lost -> "lost" to verdict.reason
+            is Verdict.Relocated -> "relocated" to null
             is Verdict.Failed -> "failed" to "status_${verdict.answer.status}"
             else -> "answered" to null
         }
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/FleetState.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/FleetState.kt
@@ -10,6 +10,7 @@
 import org.celerywalk.limit.RetryBudget
 import org.celerywalk.route.RouteTable
 import org.celerywalk.routing.FleetLoads
+import org.celerywalk.stream.RelocatableStreams
 import org.celerywalk.weights.NamedHistory
 import org.celerywalk.weights.NamedWeights
 import java.util.concurrent.ConcurrentHashMap
@@ -42,6 +43,7 @@
     val directory = EndpointDirectory(timeSource, REGISTRY_OUTAGE, REGISTRATIONS_RETURN)
     val loads = FleetLoads(timeSource)
     val locations = PartLocations(timeSource, PARTS_ASSUMED)
+    val streams = RelocatableStreams()
     val quotas = ConcurrentHashMap<String, FleetQuota>()
     private val budgets = ConcurrentHashMap<String, RetryBudget>()
     private val named = ConcurrentHashMap<String, NamedHistory>()
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/Forwarding.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/Forwarding.kt
@@ -43,6 +43,7 @@
         if (exchange.cut != null || timeLeft() <= SHORTEST_SEND) return false
         return when (verdict) {
             is Verdict.NotRun -> tried.size < MAX_SENDS && (!verdict.arrived || budget.tryRepeat())
+            is Verdict.Relocated -> true
             is Verdict.Lost, is Verdict.Failed -> route.repeatable && runs < route.maxAttempts && budget.tryRepeat()
             else -> false
         }
@@ -85,12 +86,15 @@
         )
         // Part of the time is kept for another endpoint, where the request may run again.
         val another = route.kind == RequestKind.IDEMPOTENT && runs + 1 < route.maxAttempts
-        val verdict = sender.send(endpoint, forwarded, (timeLeft() / 2).takeIf { another }, onAnswer)
+        val verdict = sender.send(endpoint, forwarded, (timeLeft() / 2).takeIf { another }, mayRelocate(), onAnswer)
         if (verdict.mayHaveRun) runs++
         if (verdict is Verdict.Failed) failure = verdict.answer
         return verdict
     }
 
+    private fun mayRelocate(): (() -> Boolean)? =
+        budget::tryOptionalRepeat.takeIf { route.kind == RequestKind.STREAMING && route.resumable && runs + 1 < route.maxAttempts }
+
     private fun finish(verdict: Verdict): String {
         val answer = exchange.answer
         val failed = failure
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/PeerExchange.kt
@@ -160,7 +160,7 @@
             val load = state.loads.all()[endpoint]
             models.properties().forEach { (model, version) -> load?.sawVersion(model, version.asInt()) }
         }
-        root.path(CHANGING).forEach { state.loads.all()[it.asText()]?.startedWeightChange(CHANGE_REPORT_HOLDS) }
+        root.path(CHANGING).forEach { changing(it.asText()) }
         root.path(WEIGHT_AGES).properties().forEach { (model, ages) ->
             ages.properties().forEach { (version, age) -> aged(model, version, age.asLong().milliseconds) }
         }
@@ -172,6 +172,12 @@
         confirm(root)
     }
 
+    private fun changing(endpoint: String) {
+        state.loads.all()[endpoint]?.startedWeightChange(CHANGE_REPORT_HOLDS)
+        val streams = state.streams.relocateFrom(endpoint)
+        if (streams > 0) log.write("streams_relocated", "endpoint" to endpoint, "streams" to streams)
+    }
+
     // Only ages are taken over: a name counts once this process has read it itself.
     private fun aged(model: String, version: String, age: Duration) {
         val number = version.toIntOrNull() ?: return
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/Verdict.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/Verdict.kt
@@ -13,6 +13,9 @@
     /** The request may have run; an answer, if any, is not whole. */
     data class Lost(val reason: String) : Verdict
 
+    /** The stream was ended in order to go on at another endpoint. */
+    data object Relocated : Verdict
+
     /** The endpoint ran the request and reports an error. */
     class Failed(val answer: WholeEndpointAnswer) : Verdict
 
@@ -23,7 +26,7 @@
     data object Cut : Verdict
 
     /** True if the endpoint may have run the request. */
-    val mayHaveRun: Boolean get() = this is Answered || this is Lost || this is Failed
+    val mayHaveRun: Boolean get() = this is Answered || this is Lost || this is Failed || this is Relocated
 
     /** True if the endpoint gave no usable sign of life. */
     val unreachable: Boolean get() = this is Lost || (this is NotRun && !arrived)
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/WeightsDuty.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/WeightsDuty.kt
@@ -7,6 +7,7 @@
 import org.celerywalk.weights.NamedWeights
 import org.celerywalk.weights.WeightRollout
 import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -53,12 +54,21 @@
     }
 
     private fun rollOut(weights: NamedWeights, serving: List<RegisteredEndpoint>) {
-        val waiting = rollout.outdated(weights, serving)
-            .filter { it.id !in loading && !state.loads.of(it.id).changesWeights }
-        val free = rollout.concurrency(serving.size) - loading.size
+        val outdated = rollout.outdated(weights, serving)
+        val waiting = outdated.filter { it.id !in loading && !state.loads.of(it.id).changesWeights }
+        val free = rollout.concurrency(serving.size, outdated.size, timeLeft(weights, outdated)) - loading.size
         waiting.take(free.coerceAtLeast(0)).forEach { order(it, weights) }
     }
 
+    // Time until the oldest weights in use may not serve any more.
+    private fun timeLeft(weights: NamedWeights, outdated: List<RegisteredEndpoint>): Duration {
+        val history = state.weightsOf(weights.model)
+        val ages = outdated.mapNotNull { replica ->
+            state.loads.of(replica.id).version(weights.model)?.let(history::supersededFor)
+        }
+        return state.settings.bounds.weightsDeadline - DEADLINE_MARGIN - (ages.maxOrNull() ?: Duration.ZERO)
+    }
+
     private fun order(replica: RegisteredEndpoint, weights: NamedWeights) {
         val report = replicas.report(replica.address, CALL_TIMEOUT).getOrNull()
         val version = report?.versions?.get(weights.model)
@@ -82,6 +92,7 @@
             OrderOutcome.ACCEPTED -> {
                 orderedCounts[replica.id] = count + 1
                 started(replica, weights)
+                relocateStreams(replica)
             }
             OrderOutcome.ALREADY_DONE -> state.loads.of(replica.id).sawVersion(weights.model, weights.version)
             // The order may be carried out all the same.
@@ -97,6 +108,12 @@
         onOrdered()
     }
 
+    // The replica loads the weights once its running requests have ended.
+    private fun relocateStreams(replica: RegisteredEndpoint) {
+        val streams = state.streams.relocateFrom(replica.id)
+        if (streams > 0) log.write("streams_relocated", "endpoint" to replica.id, "streams" to streams)
+    }
+
     private fun check(replica: RegisteredEndpoint) {
         val at = loading.getValue(replica.id)
         val report = replicas.report(replica.address, CALL_TIMEOUT).getOrNull()
@@ -107,6 +124,7 @@
             val after = at.since.elapsedNow()
             log.write("weights_order_ended", "endpoint" to replica.id, "version" to version, "after" to after)
             if (version > 0) state.loads.of(replica.id).sawVersion(at.weights.model, version)
+            if (version >= at.weights.version) rollout.changedAfter(after)
             ended(replica.id)
         }
     }
@@ -125,6 +143,9 @@
         // Runs that are at the replica end first, then the weights are loaded.
         val CHANGE_AT_MOST = 4.seconds
 
+        // A request that is sent shortly before the deadline may wait in a replica's queue before it begins.
+        val DEADLINE_MARGIN = 2500.milliseconds
+
         // Reports show the state of a few hundred milliseconds ago.
         val REPORT_LAG = 500.milliseconds
     }
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/GatewayTest.kt
@@ -6,6 +6,9 @@
 import okhttp3.Response
 import org.junit.jupiter.api.AfterEach
 import java.io.IOException
+import java.net.DatagramPacket
+import java.net.DatagramSocket
+import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.TimeUnit
@@ -100,6 +103,29 @@
         assertEquals(listOf(1, 1), endpoints.map { it.arrived.size })
     }
 
+    @Test
+    fun `new weights - a resumable stream leaves the replica that another gateway gave the order to`() {
+        val begun = EndpointStandIn.stream("id: 1\ndata: a\n\n", whole = false)
+        val rest = EndpointStandIn.stream("id: 2\ndata: b\n\n", whole = true)
+        repeat(2) {
+            endpoint { request, socket ->
+                val resumed = request.fields["last-event-id"] == "1"
+                (if (resumed) rest else begun)(request, socket)
+                // The replica would go on until the connection is closed.
+                if (!resumed) runCatching { socket.getInputStream().read() }
+            }
+        }
+        start()
+        // Shorter than the silence after which a gateway gives a stream up by itself.
+        val impatient = client.newBuilder().readTimeout(2, TimeUnit.SECONDS).build()
+        val response = impatient.newCall(request("/resume/x", body = "p")).execute()
+        assertEquals("id: 1", response.body.source().readUtf8Line())
+        val first = endpoints.indexOfFirst { it.arrived.isNotEmpty() }
+        tellAsPeer("""{"name":"peer","number":1,"changing":["i-$first"]}""")
+        assertEquals("data: a\n\nid: 2\ndata: b\n\n", response.body.string())
+        assertEquals(listOf(1, 1), endpoints.map { it.arrived.size })
+    }
+
     @Test
     fun `work stops when its caller leaves`() {
         val endpoint = endpoint { _, socket ->
@@ -157,6 +183,10 @@
         await { runCatching { get("http://127.0.0.1:${ports[1]}/v1/readiness").code }.getOrNull() == 200 }
     }
 
+    private fun tellAsPeer(message: String) = DatagramSocket().use {
+        it.send(DatagramPacket(message.toByteArray(), message.length, InetAddress.getByName("127.0.0.1"), ports[3]))
+    }
+
     private fun register() = endpoints.forEachIndexed { i, endpoint ->
         val text = """{"backend":"s","address":"${endpoint.address}","zone":"dc","slots":4,"state":"ready"}"""
         store.put("servers", "i-$i", text)
--- a/library/src/main/kotlin/org/celerywalk/limit/RetryBudget.kt
+++ b/library/src/main/kotlin/org/celerywalk/limit/RetryBudget.kt
@@ -28,10 +28,19 @@
 
     /** Takes one repeated send; false if the budget is spent. */
     @Synchronized
-    public fun tryRepeat(): Boolean {
+    public fun tryRepeat(): Boolean = tryRepeat(shareUsed = 1.0)
+
+    /**
+     * Takes one repeated send that could be done without; false if half of the budget is spent. The rest is left for
+     * requests that have failed.
+     */
+    @Synchronized
+    public fun tryOptionalRepeat(): Boolean = tryRepeat(OPTIONAL_SHARE)
+
+    private fun tryRepeat(shareUsed: Double): Boolean {
         expire(requests)
         expire(repeats)
-        val allowed = repeats.size + 1 <= allowance() + ratio * requests.size
+        val allowed = repeats.size + 1 <= shareUsed * (allowance() + ratio * requests.size)
         if (allowed) repeats.addLast(timeSource.markNow())
         return allowed
     }
@@ -39,4 +48,8 @@
     private fun expire(marks: ArrayDeque<ComparableTimeMark>) {
         while (marks.isNotEmpty() && marks.first().elapsedNow() > window) marks.removeFirst()
     }
+
+    private companion object {
+        const val OPTIONAL_SHARE = 0.5
+    }
 }
--- a/library/src/test/kotlin/org/celerywalk/limit/RetryBudgetTest.kt
+++ b/library/src/test/kotlin/org/celerywalk/limit/RetryBudgetTest.kt
@@ -18,6 +18,13 @@
         assertEquals(13, (1..100).count { budget.tryRepeat() })
     }
 
+    @Test
+    fun `half of the budget is left for requests that failed when streams are relocated`() {
+        repeat(50) { budget.requested() }
+        assertEquals(6, (1..100).count { budget.tryOptionalRepeat() })
+        assertEquals(7, (1..100).count { budget.tryRepeat() })
+    }
+
     @Test
     fun `repeats of the last window do not count`() {
         repeat(3) { assertTrue(budget.tryRepeat()) }
--- /dev/null
+++ b/library/src/test/kotlin/org/celerywalk/weights/WeightRolloutTest.kt
@@ -0,0 +1,52 @@
+package org.celerywalk.weights
+
+import org.celerywalk.endpoint.RegisteredEndpoint
+import org.celerywalk.routing.FleetLoads
+import org.celerywalk.routing.Work
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
+
+/** Answers new weights that follow each other while the fleet is under load. */
+class WeightRolloutTest {
+    private val loads = FleetLoads(TestTimeSource())
+    private val rollout = WeightRollout(loads)
+
+    @Test
+    fun `new weights - three quarters of the replicas keep serving while there is time`() {
+        assertEquals(2, rollout.concurrency(total = 8, outdated = 8, timeLeft = 6.seconds))
+        assertEquals(6, rollout.concurrency(total = 24, outdated = 24, timeLeft = 6.seconds))
+    }
+
+    @Test
+    fun `new weights - more replicas change at once when time gets short, never more than half`() {
+        assertEquals(3, rollout.concurrency(total = 8, outdated = 6, timeLeft = 2500.milliseconds))
+        assertEquals(4, rollout.concurrency(total = 8, outdated = 8, timeLeft = 1.seconds))
+        assertEquals(4, rollout.concurrency(total = 8, outdated = 8, timeLeft = (-1).seconds))
+    }
+
+    @Test
+    fun `new weights - slow changes need more replicas at once`() {
+        repeat(30) { rollout.changedAfter(3.seconds) }
+        assertTrue(rollout.concurrency(total = 8, outdated = 8, timeLeft = 6.seconds) >= 4)
+    }
+
+    @Test
+    fun `new weights - a pair of replicas changes although the service has none to spare`() {
+        assertEquals(2, rollout.concurrency(total = 2, outdated = 2, timeLeft = 6.seconds))
+    }
+
+    @Test
+    fun `replicas with the least work change first, and those with the newest weights not at all`() {
+        loads.of("b").add(Work(calls = 3))
+        loads.of("c").sawVersion("m", 2)
+        val outdated = rollout.outdated(NamedWeights("m", 2), listOf("b", "a", "c").map(::replica))
+        assertEquals(listOf("a", "b"), outdated.map { it.id })
+    }
+
+    private fun replica(id: String) =
+        RegisteredEndpoint(id, "s", "10.0.0.1:80", "dc", 64, leaving = false, startedAtMillis = null, mapOf("m" to 1))
+}
