Weigh lateness when a generation is placed

Cause: while weights change, new ones were preferred by 400 ms of waiting and nothing told a placement that is late from one that is in time; the few replicas with new weights were expected to take 1.5 to 2.6 s while others with old weights were free. Change: a placement that would miss the route's latency target costs 900 ms more, rising from 60 to 110 % of the target, because the expected time is an estimate. Old weights therefore serve where new ones would be late.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GenerationPlacement.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GenerationPlacement.kt
@@ -81,6 +81,7 @@
             promptTokens = maxOf(caller.promptTokens, caller.parts.sumOf { it.tokens }),
             outputTokens = caller.expectedOutputTokens ?: caller.maxOutputTokens,
             isolatedAccount = admitted.account?.takeIf { it.isolated }?.name,
+            firstTokenWithin = (admitted.route.latencyTarget - exchange.elapsed()).coerceAtLeast(SHORTEST_TARGET),
         )
     }
 
@@ -128,6 +129,7 @@
     private companion object {
         const val LEAST_URGENT = 9
         const val MIN_SAVED_TOKENS = 512
+        val SHORTEST_TARGET = 50.milliseconds
 
         // The rest of the time is for the answer's tokens.
         const val USABLE_TIME = 0.8
--- a/library/src/main/kotlin/org/celerywalk/routing/Generation.kt
+++ b/library/src/main/kotlin/org/celerywalk/routing/Generation.kt
@@ -3,6 +3,7 @@
 import org.celerywalk.cache.CacheScope
 import org.celerywalk.cache.PromptPart
 import org.celerywalk.endpoint.RegisteredEndpoint
+import kotlin.time.Duration
 
 /**
  * Describes a generation to be placed.
@@ -10,6 +11,7 @@
  * @property parts parts of the prompt in order; the last one belongs to the request itself.
  * @property outputTokens expected tokens of the answer.
  * @property isolatedAccount account that shares no cache, or null.
+ * @property firstTokenWithin time left until the first token is late.
  */
 public data class Generation(
     val model: String,
@@ -17,6 +19,7 @@
     val promptTokens: Int,
     val outputTokens: Int,
     val isolatedAccount: String?,
+    val firstTokenWithin: Duration = Duration.INFINITE,
 ) {
     /** Parts that other requests may use too. */
     val sharedParts: List<PromptPart> get() = parts.dropLast(1)
--- a/library/src/main/kotlin/org/celerywalk/routing/ModelReplicaChooser.kt
+++ b/library/src/main/kotlin/org/celerywalk/routing/ModelReplicaChooser.kt
@@ -112,7 +112,13 @@
             val away = if (home != null && replica.id != home && known < sharedTokens) AWAY_MILLIS else 0.0
             // A copy of parts displaces others from memory.
             val copy = service.transferMillis(placement.fetchTokens, remote = false)
-            return old + remote + again + away + copy
+            return old + remote + again + away + copy + lateMillis(placement.expectedMillis)
+        }
+
+        // The expected time is an estimate, so that being late gets likely before it reaches the target.
+        private fun lateMillis(expectedMillis: Double): Double {
+            val share = expectedMillis.milliseconds / generation.firstTokenWithin
+            return LATE_MILLIS * ((share - SURELY_IN_TIME) / (SURELY_LATE - SURELY_IN_TIME)).coerceIn(0.0, 1.0)
         }
 
         private fun bestSource(target: RegisteredEndpoint, scope: CacheScope, cached: Int): Source? {
@@ -148,8 +154,13 @@
         // A request that finds no slot waits for one of those that run.
         const val MILLIS_PER_SLOT = 15.0
 
-        // An answer on superseded weights loses part of its value after a while; a wait of this length is better.
+        // An answer on superseded weights loses a fifth of its value after a while, a late one most of it.
         const val OLD_WEIGHTS_MILLIS = 400.0
+        const val LATE_MILLIS = 900.0
+
+        // Shares of the time until the first token is late.
+        const val SURELY_IN_TIME = 0.6
+        const val SURELY_LATE = 1.1
         val OLD_WEIGHTS_FREE = 1.2.seconds
         const val REMOTE_MILLIS = 2.0
 
--- a/library/src/test/kotlin/org/celerywalk/routing/ModelReplicaChooserTest.kt
+++ b/library/src/test/kotlin/org/celerywalk/routing/ModelReplicaChooserTest.kt
@@ -98,6 +98,34 @@
         assertEquals(0, placement?.cachedTokens)
     }
 
+    @Test
+    fun `new weights - old ones serve while the few replicas with new ones would be late`() {
+        weights.name(2)
+        loads.of("r1").sawVersion("m", 2)
+        time += 1.5.seconds
+        val urgent = generation.copy(firstTokenWithin = 600.milliseconds)
+        assertEquals("r1", choose(urgent)?.endpoint?.id)
+        loads.of("r1").add(Work(calls = 3, unreadTokens = 20_000))
+        assertNotEquals("r1", choose(urgent)?.endpoint?.id)
+    }
+
+    @Test
+    fun `cold cache - a home replica that would be late is passed over`() {
+        val urgent = generation.copy(firstTokenWithin = 600.milliseconds)
+        val home = assertNotNull(choose(urgent)).endpoint.id
+        loads.of(home).add(Work(calls = 1, unreadTokens = 1_500))
+        assertEquals(home, choose(urgent)?.endpoint?.id)
+        loads.of(home).add(Work(calls = 2, unreadTokens = 20_000))
+        assertNotEquals(home, choose(urgent)?.endpoint?.id)
+    }
+
+    @Test
+    fun `hot prefix - what is late everywhere goes where its parts are`() {
+        keeps("r2", scope)
+        replicas.forEach { loads.of(it.id).add(Work(calls = 20, unreadTokens = 60_000)) }
+        assertEquals("r2", choose(generation.copy(firstTokenWithin = 600.milliseconds))?.endpoint?.id)
+    }
+
     @Test
     fun `new weights - nothing begins on old ones after the bound`() {
         weights.name(2)
@@ -118,7 +146,8 @@
         assertNotEquals("r2", choose()?.endpoint?.id)
     }
 
-    private fun choose() = chooser.choose(generation, replicas, context(), weights, 6.seconds)
+    private fun choose(generation: Generation = this.generation) =
+        chooser.choose(generation, replicas, context(), weights, 6.seconds)
 
     private fun keeps(holder: String, scope: CacheScope) =
         generation.sharedParts.forEach { locations.changed(holder, scope.text, it.id, it.tokens) }
