Hand orders over at a stop, order the oldest first, let late generations yield

A gateway that was cut off from the store marked replicas before it had the lease, and reported them as changing again and again. Ruled out: sending late callers away (LatenessShedding, not committed): in a queue that is offered 1.25 times what it reads, those that come back make the others late again. Change: WeightsDuty.handOver; the lease is confirmed, then all replicas of a batch are marked, then ordered (WeightChanges); the order is failing ones last, oldest weights first, least to read first; a stream that has begun asks up to 12 times; generations that would be late get the lowest priority and their tokens count for themselves only; the registry is read every second without a feed; the start gate opens after the confirmation of the configuration (it opened before, seen in GatewayTest).

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/FleetState.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/FleetState.kt
@@ -41,7 +41,6 @@
 
     val confirmation = StoreConfirmation()
 
-    /** Opens once the configuration and the endpoints are known. */
     val startGate = StartGate(timeSource, START_AT_MOST)
     val directory = EndpointDirectory(timeSource, REGISTRY_OUTAGE, REGISTRATIONS_RETURN)
     val loads = FleetLoads(timeSource)
@@ -67,8 +66,8 @@
     /** Records the newest weights of a model; returns true if they are news. */
     fun name(weights: NamedWeights): Boolean {
         val history = weightsOf(weights.model)
-        // What was named before this process started may be some time old.
-        val age = if (history.newest == 0) UNKNOWN_WEIGHTS_AGE else Duration.ZERO
+        // What was named before this process first read the store may be some time old.
+        val age = if (history.newest == 0 && confirmation.age() == null) UNKNOWN_WEIGHTS_AGE else Duration.ZERO
         return weights.version > history.newest && history.name(weights.version, age)
     }
 
@@ -95,7 +94,7 @@
         // A store that has not answered by then may be away for long.
         val START_AT_MOST = 2.seconds
 
-        // The registry is read every two seconds.
+        // The registry is read every second.
         val REGISTRY_OUTAGE = 3500.milliseconds
         val REGISTRATIONS_RETURN = 2500.milliseconds
 
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/Forwarding.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/Forwarding.kt
@@ -25,6 +25,15 @@
     private var runs = 0
     private var failure: WholeEndpointAnswer? = null
 
+    private val begun: Boolean get() = exchange.answer.committed
+    private val maxSends: Int get() = if (begun) MAX_SENDS_OF_BEGUN else MAX_SENDS
+
+    // Takes a repeated send from the budget; null if the answer can't go on at another endpoint.
+    private val mayRelocate: (() -> Boolean)?
+        get() = budget::tryOptionalRepeat.takeIf {
+            route.kind == RequestKind.STREAMING && route.resumable && runs + 1 < route.maxAttempts
+        }
+
     /** Endpoints that the request was sent to, in order. */
     val endpoints: List<String> get() = tried
 
@@ -42,7 +51,7 @@
     private fun goesOn(verdict: Verdict): Boolean {
         if (exchange.cut != null || timeLeft() <= SHORTEST_SEND) return false
         return when (verdict) {
-            is Verdict.NotRun -> tried.size < MAX_SENDS && (!verdict.arrived || budget.tryRepeat())
+            is Verdict.NotRun -> tried.size < maxSends && (!verdict.arrived || budget.tryRepeat())
             is Verdict.Relocated -> true
             is Verdict.Lost, is Verdict.Failed -> route.repeatable && runs < route.maxAttempts && budget.tryRepeat()
             else -> false
@@ -50,7 +59,9 @@
     }
 
     private fun attempt(): Verdict {
-        val candidates = parts.state.directory.serving(service).filter { it.id !in tried }
+        val serving = parts.state.directory.serving(service)
+        // A stream that has begun asks once more where it was refused, rather than end in the middle.
+        val candidates = serving.filter { it.id !in tried }.ifEmpty { if (begun) serving else emptyList() }
         val engine = admitted.active.configuration.services[service]?.engine
         return when {
             exchange.cut != null -> Verdict.Cut
@@ -86,15 +97,12 @@
         )
         // Part of the time is kept for another endpoint, where the request may run again.
         val another = route.kind == RequestKind.IDEMPOTENT && runs + 1 < route.maxAttempts
-        val verdict = sender.send(endpoint, forwarded, (timeLeft() / 2).takeIf { another }, mayRelocate(), onAnswer)
+        val verdict = sender.send(endpoint, forwarded, (timeLeft() / 2).takeIf { another }, mayRelocate, onAnswer)
         if (verdict.mayHaveRun) runs++
         if (verdict is Verdict.Failed) failure = verdict.answer
         return verdict
     }
 
-    private fun mayRelocate(): (() -> Boolean)? =
-        budget::tryOptionalRepeat.takeIf { route.kind == RequestKind.STREAMING && route.resumable && runs + 1 < route.maxAttempts }
-
     private fun finish(verdict: Verdict): String {
         val answer = exchange.answer
         val failed = failure
@@ -133,6 +141,7 @@
 
         // Refusals by endpoints draw on a budget of all gateways.
         const val MAX_SENDS = 4
+        const val MAX_SENDS_OF_BEGUN = 12
         val SHORTEST_SEND = 15.milliseconds
         val RETRY_SOON = 300.milliseconds
         val RETURN_TIME = 5.milliseconds
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
@@ -29,13 +29,18 @@
     private val state = FleetState(settings, timeSource, { membership.count }, membership::quotaShare)
     private val lease = OrderLeaseKeeper(settings, table, timeSource, log)
     private val store: StoreDuties = StoreDuties(state, table, log) { weights.runSoon() }
-    private val peers = PeerExchange(state, membership, log) { lease.holds && store.readWithin(LEASE_CLAIM) }
+    private val peers = PeerExchange(state, membership, log) {
+        !stopping && lease.holds && store.readWithin(LEASE_CLAIM)
+    }
     private val weights: WeightsDuty =
         WeightsDuty(state, lease, replicas, log, { !lease.holds && peers.leaseIsElsewhere }, peers::tellSoon)
     private val cacheEvents = CacheEventDuties(state, replicas, log)
     private val handler = RequestHandler(state, forwardingParts(), log, metrics)
     private val server = GatewayServer(settings, handler, Pages())
 
+    // Kept in a field, since java.util.logging forgets the level of a logger that nobody refers to.
+    private val jettyAnswers = Logger.getLogger("org.eclipse.jetty.server.Response")
+
     @Volatile
     private var stopping = false
 
@@ -43,6 +48,8 @@
     public fun start() {
         // Libraries log through java.util.logging here, which starts faster than tinylog; events go to the EventLog.
         Logger.getLogger("").level = Level.WARNING
+        // Reports each connection that is closed under an answer, which the log tells as the outcome of the request.
+        jettyAnswers.level = Level.OFF
         log.write("start", "data_centre" to settings.dataCentre, "callers" to settings.callers)
         metrics.gauge("celerywalk.requests.open") { handler.open }
         metrics.gauge("celerywalk.log.dropped") { log.droppedLines }
@@ -61,7 +68,7 @@
         log.write("stop", "open" to handler.open)
         stopping = true
         handler.stopping = true
-        weights.close()
+        weights.handOver()
         membership.leave()
         val stoppedAt = timeSource.markNow()
         val latest = settings.bounds.stopGrace - STOP_MARGIN
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GenerationPlacement.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GenerationPlacement.kt
@@ -25,7 +25,8 @@
 
 /** Holds a generation's work at a replica: the unread prompt until the first token, the rest until the end. */
 internal class TrackedWork(private val load: EndpointLoad, private val work: Work) : AutoCloseable {
-    private var unread = work.unreadTokens
+    private var unread = Work(unreadTokens = work.unreadTokens, deferredTokens = work.deferredTokens)
+    private val running = work - unread
 
     init {
         load.add(work)
@@ -33,12 +34,12 @@
 
     /** Records that the replica has read the prompt. */
     fun answering() {
-        load.remove(Work(unreadTokens = unread))
-        unread = 0
+        load.remove(unread)
+        unread = Work()
     }
 
     override fun close() {
-        load.remove(work.copy(unreadTokens = unread))
+        load.remove(running + unread)
     }
 }
 
@@ -103,6 +104,7 @@
             "fetch_from" to placement.fetchFrom,
             "prompt" to generation.promptTokens,
             "expected_ms" to placement.expectedMillis.toLong(),
+            "deferred" to placement.deferred.takeIf { it },
             "calls" to state.loads.of(endpoint.id).work().calls,
         )
         state.locations.sent(endpoint.id, placement.scope, generation.parts)
@@ -110,13 +112,16 @@
         val forwarded = ForwardedGeneration(
             cacheScope = placement.scope.text,
             expectedVersion = placement.version,
-            priority = (admitted.account?.priority ?: admitted.route.priority).coerceIn(0, LEAST_URGENT),
+            priority = if (placement.deferred) LEAST_URGENT else priority(admitted),
             fetchFrom = placement.fetchFrom,
             saveTo = saveTo(admitted, generation, placement.scope),
         )
         return GenerationChoice.Placed(endpoint, forwarded, TrackedWork(state.loads.of(endpoint.id), placement.work))
     }
 
+    private fun priority(admitted: AdmittedRequest) =
+        (admitted.account?.priority ?: admitted.route.priority).coerceIn(0, LEAST_URGENT)
+
     // The last part belongs to this request or its session; the store's memory is for those that many share.
     private fun saveTo(admitted: AdmittedRequest, generation: Generation, scope: CacheScope): String? {
         val store = admitted.active.cacheStore ?: return null
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/PeerExchange.kt
@@ -31,6 +31,7 @@
 ) : AutoCloseable {
     private class PlacedParts(val holder: String, val scope: String, val parts: String)
 
+    private val weightChanges = WeightChanges(state, log)
     private val placements = MpscArrayQueue<PlacedParts>(PLACEMENTS_PER_MESSAGE)
     private val socket = DatagramSocket(InetSocketAddress(state.settings.callers.host, state.settings.peerPort))
     private val sender = PeriodicDuty("peers-send", SEND_PERIOD, log, ::send)
@@ -98,7 +99,7 @@
         val models = state.weights.map { it.model }
         state.loads.all().forEach { (endpoint, load) ->
             val own = load.ownWork
-            if (own.calls > 0) work.putArray(endpoint).add(own.calls).add(own.unreadTokens).add(own.cacheTokens)
+            if (own.calls > 0) PeerWork.encode(own, work.putArray(endpoint))
             models.forEach { model ->
                 load.version(model)?.let { version -> versions.withObjectProperty(endpoint).put(model, version) }
             }
@@ -150,7 +151,7 @@
         state.loads.all().forEach { (endpoint, load) ->
             val reported = work.path(endpoint)
             if (reported.isArray) {
-                load.reported(peer, Work(reported[0].asInt(), reported[1].asLong(), reported[2].asLong()))
+                load.reported(peer, PeerWork.decode(reported))
             } else {
                 load.reported(peer, Work())
             }
@@ -159,7 +160,7 @@
             val load = state.loads.all()[endpoint]
             models.properties().forEach { (model, version) -> load?.sawVersion(model, version.asInt()) }
         }
-        root.path(CHANGING).forEach { changing(it.asText()) }
+        weightChanges.begun(root.path(CHANGING).map { it.asText() }, CHANGE_REPORT_HOLDS)
         root.path(WEIGHT_AGES).properties().forEach { (model, ages) ->
             ages.properties().forEach { (version, age) -> aged(model, version, age.asLong().milliseconds) }
         }
@@ -171,12 +172,6 @@
         confirm(root)
     }
 
-    private fun changing(endpoint: String) {
-        state.loads.all()[endpoint]?.startedWeightChange(CHANGE_REPORT_HOLDS)
-        val streams = state.streams.relocateFrom(endpoint)
-        if (streams > 0) log.write("streams_relocated", "endpoint" to endpoint, "streams" to streams)
-    }
-
     // Only ages are taken over: a name counts once this process has read it itself.
     private fun aged(model: String, version: String, age: Duration) {
         val number = version.toIntOrNull() ?: return
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/RequestHandler.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/RequestHandler.kt
@@ -105,6 +105,7 @@
 
         // Well below the threads of the server.
         const val MAX_REQUESTS = 200
+
         // The rest of a caller's time is for the answer.
         const val PATIENCE_SHARE = 3
         val RETRY_LATER = 1.seconds
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/StoreDuties.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/StoreDuties.kt
@@ -23,7 +23,6 @@
     private val operators = PeriodicDuty("store-operators", CONFIRMATION_PERIOD, log, ::readOperators)
     private val registry = PeriodicDuty("store-registry", REGISTRY_PERIOD, log, ::readRegistry)
     private val operatorChanges = ChangeFeed(OPERATORS_TABLE, operators::runSoon)
-    private val registryChanges = ChangeFeed(REGISTRY_TABLE, registry::runSoon)
 
     @Volatile
     private var reachable: Boolean? = null
@@ -43,11 +42,10 @@
         operators.start()
         registry.start()
         operatorChanges.start()
-        registryChanges.start()
     }
 
     override fun close() {
-        listOf(operators, registry, operatorChanges, registryChanges).forEach { it.close() }
+        listOf(operators, registry, operatorChanges).forEach { it.close() }
     }
 
     private fun readOperators() {
@@ -57,7 +55,8 @@
             lastRead = sentAt
             operatorChanges.seen(reading.storeVersion)
             if (reading.rows.all(::apply)) state.confirmation.confirm(sentAt)
-            openStartGate()
+            // Requests with a key need the confirmation too.
+            if (state.active != null) state.startGate.configured()
         }
     }
 
@@ -94,10 +93,9 @@
             val entries = reading.rows.mapNotNull { row ->
                 RegistryDocument.endpoint(row.key, row.value).also { if (it == null) log.unreadable(row) }
             }
-            registryChanges.seen(reading.storeVersion)
             val change = state.directory.read(entries)
             registryRead = true
-            openStartGate()
+            state.startGate.endpointsKnown()
             entries.forEach { entry ->
                 entry.models.forEach { (model, version) -> state.loads.of(entry.id).sawVersion(model, version) }
             }
@@ -111,10 +109,6 @@
         }
     }
 
-    private fun openStartGate() {
-        if (registryRead && state.active != null) state.startGate.open()
-    }
-
     private fun logEndpoint(event: String, endpoint: RegisteredEndpoint) {
         log.write(event, "endpoint" to endpoint.id, "service" to endpoint.service, "address" to endpoint.address)
     }
@@ -142,10 +136,11 @@
                     if (error.status == HISTORY_GONE) onChange() else unreachable(error)
                     LockSupport.parkNanos(ERROR_PAUSE.inWholeNanoseconds)
                 },
-                { newest ->
-                    if (newest > after) {
-                        log.write("store_changed", "table" to table, "version" to newest, "before" to after)
-                        seen(newest)
+                { change ->
+                    seen(change.storeVersion)
+                    if (change.changed) {
+                        val version = change.storeVersion
+                        log.write("store_changed", "table" to table, "version" to version, "before" to after)
                         onChange()
                     }
                 },
@@ -173,8 +168,9 @@
         // Keys may be used for a few seconds after the last confirmation; each reading costs a call to the store.
         val CONFIRMATION_PERIOD = 1400.milliseconds
 
-        // Changes are told by the feed; readings at this pace make up for a feed that is silent.
-        val REGISTRY_PERIOD = 2.seconds
+        // Every endpoint renews its registration about once a second, so a feed would return many times a second. A
+        // leaving endpoint must get no more work after two seconds.
+        val REGISTRY_PERIOD = 1.seconds
         val READ_TIMEOUT = 900.milliseconds
         val FEED_WAIT = 5.seconds
         val FEED_PAUSE = 100.milliseconds
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/WeightsDuty.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/WeightsDuty.kt
@@ -7,7 +7,6 @@
 import org.celerywalk.weights.NamedWeights
 import org.celerywalk.weights.WeightRollout
 import kotlin.time.ComparableTimeMark
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -23,8 +22,13 @@
     private class Loading(val weights: NamedWeights, val since: ComparableTimeMark)
 
     private val rollout = WeightRollout(state.loads)
+    private val weightChanges = WeightChanges(state, log)
     private val loading = HashMap<String, Loading>()
     private val orderedCounts = HashMap<String, Long>()
+    private val unreachable = HashMap<String, ComparableTimeMark>()
+
+    @Volatile
+    private var handingOver = false
     private val duty = PeriodicDuty("weights", PERIOD, log, ::step)
 
     fun start() {
@@ -36,6 +40,11 @@
         duty.runSoon()
     }
 
+    /** Gives no more orders; those in progress are watched to their end, so that their replicas get work again. */
+    fun handOver() {
+        handingOver = true
+    }
+
     override fun close() {
         duty.close()
     }
@@ -45,7 +54,7 @@
         val endpoints = state.directory.endpoints
         loading.keys.filter { it !in endpoints }.forEach(::ended)
         loading.keys.toList().forEach { check(endpoints.getValue(it)) }
-        if (othersGiveOrders()) return
+        if (handingOver || othersGiveOrders()) return
         state.weights.forEach { weights ->
             val services = active.configuration.services.values
             val service = services.find { weights.model in it.engine?.models.orEmpty() }
@@ -55,26 +64,34 @@
 
     private fun rollOut(weights: NamedWeights, serving: List<RegisteredEndpoint>) {
         val outdated = rollout.outdated(weights, serving)
-        val waiting = outdated.filter { it.id !in loading && !state.loads.of(it.id).changesWeights }
-        val free = rollout.concurrency(serving.size, outdated.size, timeLeft(weights, outdated)) - loading.size
-        waiting.take(free.coerceAtLeast(0)).forEach { order(it, weights) }
+        val oldest = rollout.longestSuperseded(weights.model, outdated, state.weightsOf(weights.model))
+        val timeLeft = state.settings.bounds.weightsDeadline - DEADLINE_MARGIN - oldest
+        val free = rollout.concurrency(serving.size, outdated.size, timeLeft) - loading.size
+        unreachable.values.removeIf { it.elapsedNow() > UNREACHABLE_PAUSE }
+        val waiting = outdated.filter {
+            it.id !in loading && it.id !in unreachable && !state.loads.of(it.id).changesWeights
+        }
+        orderAll(waiting.take(free.coerceAtLeast(0)), weights)
     }
 
-    // Time until the oldest weights in use may not serve any more.
-    private fun timeLeft(weights: NamedWeights, outdated: List<RegisteredEndpoint>): Duration {
-        val history = state.weightsOf(weights.model)
-        val ages = outdated.mapNotNull { replica ->
-            state.loads.of(replica.id).version(weights.model)?.let(history::supersededFor)
-        }
-        return state.settings.bounds.weightsDeadline - DEADLINE_MARGIN - (ages.maxOrNull() ?: Duration.ZERO)
+    // Marks all of them before the first order, so that the streams of one don't move to the next.
+    private fun orderAll(batch: List<RegisteredEndpoint>, weights: NamedWeights) {
+        if (batch.isEmpty() || lease.confirmed() == null) return
+        batch.forEach { weightChanges.ordering(it.id, CHANGE_AT_MOST) }
+        batch.forEach { if (!order(it, weights)) weightChanges.ended(it.id) }
+        onOrdered()
+        weightChanges.begun(batch.map { it.id }.filter { it in loading }, CHANGE_AT_MOST)
     }
 
-    private fun order(replica: RegisteredEndpoint, weights: NamedWeights) {
+    /** Returns true if the replica may be changing its weights now. */
+    private fun order(replica: RegisteredEndpoint, weights: NamedWeights): Boolean {
         val report = replicas.report(replica.address, CALL_TIMEOUT).getOrNull()
         val version = report?.versions?.get(weights.model)
         if (version != null) state.loads.of(replica.id).sawVersion(weights.model, version)
-        if (report == null || report.carriesOutOrder || (version ?: 0) >= weights.version) return
-        val fence = lease.confirmed() ?: return
+        if (report == null) unreachable[replica.id] = state.timeSource.markNow()
+        val needed = report != null && !report.carriesOutOrder && (version ?: 0) < weights.version
+        val fence = if (needed) lease.confirmed() else null
+        if (report == null || fence == null) return false
         val count = maxOf(report.ordersAccepted, orderedCounts[replica.id] ?: 0)
         val order = WeightOrder(replica.id, weights, state.settings.instance, fence, count)
         val outcome = replicas.order(replica.address, order, CALL_TIMEOUT)
@@ -91,27 +108,14 @@
         when (outcome.getOrNull()) {
             OrderOutcome.ACCEPTED -> {
                 orderedCounts[replica.id] = count + 1
-                started(replica, weights)
-                relocateStreams(replica)
+                loading[replica.id] = Loading(weights, state.timeSource.markNow())
             }
             OrderOutcome.ALREADY_DONE -> state.loads.of(replica.id).sawVersion(weights.model, weights.version)
             // The order may be carried out all the same.
-            null -> started(replica, weights)
+            null -> loading[replica.id] = Loading(weights, state.timeSource.markNow())
             else -> orderedCounts.remove(replica.id)
         }
-    }
-
-    private fun started(replica: RegisteredEndpoint, weights: NamedWeights) {
-        loading[replica.id] = Loading(weights, state.timeSource.markNow())
-        state.loads.of(replica.id).ordered = true
-        state.loads.of(replica.id).startedWeightChange(CHANGE_AT_MOST)
-        onOrdered()
-    }
-
-    // The replica loads the weights once its running requests have ended.
-    private fun relocateStreams(replica: RegisteredEndpoint) {
-        val streams = state.streams.relocateFrom(replica.id)
-        if (streams > 0) log.write("streams_relocated", "endpoint" to replica.id, "streams" to streams)
+        return replica.id in loading
     }
 
     private fun check(replica: RegisteredEndpoint) {
@@ -129,10 +133,9 @@
         }
     }
 
-    private fun ended(endpoint: String) {
-        loading.remove(endpoint)
-        state.loads.of(endpoint).ordered = false
-        state.loads.of(endpoint).endedWeightChange()
+    private fun ended(replica: String) {
+        loading.remove(replica)
+        weightChanges.ended(replica)
         onOrdered()
     }
 
@@ -140,6 +143,9 @@
         val PERIOD = 100.milliseconds
         val CALL_TIMEOUT = 400.milliseconds
 
+        // Asking a replica that is down takes the whole time of a call.
+        val UNREACHABLE_PAUSE = 1.seconds
+
         // Runs that are at the replica end first, then the weights are loaded.
         val CHANGE_AT_MOST = 4.seconds
 
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/GatewayTest.kt
@@ -170,11 +170,11 @@
         store.up = false
         launch()
         await { runCatching { Socket("127.0.0.1", ports[0]).close() }.isSuccess }
-        await { call("/once/x", body = "swap").code == 503 }
+        await { status("/once/x", body = "swap") == 503 }
         val before = System.nanoTime()
-        await { call("/once/x", body = "swap").code == 503 && System.nanoTime() - before > 2_000_000_000 }
+        await { status("/once/x", body = "swap") == 503 && System.nanoTime() - before > 2_000_000_000 }
         val asked = System.nanoTime()
-        assertEquals(503, call("/once/x", body = "swap").code)
+        assertEquals(503, status("/once/x", body = "swap"))
         assertTrue(System.nanoTime() - asked < 500_000_000, "the refusal took 500 ms or more")
     }
 
@@ -239,6 +239,8 @@
     private fun call(target: String, body: String? = null, vararg fields: Pair<String, String>): Response =
         client.newCall(request(target, body, *fields)).execute()
 
+    private fun status(target: String, body: String? = null): Int = call(target, body).use { it.code }
+
     private fun request(target: String, body: String?, vararg fields: Pair<String, String>): Request {
         val request = Request.Builder().url("http://127.0.0.1:${ports[0]}$target")
             .header("Authorization", "Bearer k-1").header("X-Attempt-Id", "a-${System.nanoTime()}")
--- a/library/src/main/kotlin/org/celerywalk/routing/EndpointLoad.kt
+++ b/library/src/main/kotlin/org/celerywalk/routing/EndpointLoad.kt
@@ -10,15 +10,26 @@
  * Sums up the work that is at an endpoint.
  *
  * @property calls calls without a final answer.
- * @property unreadTokens prompt tokens that the endpoint still has to read.
+ * @property unreadTokens prompt tokens that the endpoint still has to read, without the deferred ones.
+ * @property deferredTokens prompt tokens that it reads once it has nothing else to read.
  * @property cacheTokens KV cache memory that the calls take in the end.
  */
-public data class Work(val calls: Int = 0, val unreadTokens: Long = 0, val cacheTokens: Long = 0) {
-    public operator fun plus(other: Work): Work =
-        Work(calls + other.calls, unreadTokens + other.unreadTokens, cacheTokens + other.cacheTokens)
+public data class Work(
+    val calls: Int = 0,
+    val unreadTokens: Long = 0,
+    val cacheTokens: Long = 0,
+    val deferredTokens: Long = 0,
+) {
+    public operator fun plus(other: Work): Work = combine(other, sign = 1)
+
+    public operator fun minus(other: Work): Work = combine(other, sign = -1)
 
-    public operator fun minus(other: Work): Work =
-        Work(calls - other.calls, unreadTokens - other.unreadTokens, cacheTokens - other.cacheTokens)
+    private fun combine(other: Work, sign: Int) = Work(
+        calls + sign * other.calls,
+        unreadTokens + sign * other.unreadTokens,
+        cacheTokens + sign * other.cacheTokens,
+        deferredTokens + sign * other.deferredTokens,
+    )
 }
 
 /**
--- a/library/src/main/kotlin/org/celerywalk/routing/Generation.kt
+++ b/library/src/main/kotlin/org/celerywalk/routing/Generation.kt
@@ -33,6 +33,7 @@
  * @property cachedTokens prompt tokens that the replica is expected to keep.
  * @property fetchFrom address of a replica or store that keeps more of the prompt, or null.
  * @property expectedMillis expected time to the first token.
+ * @property deferred true if the generation would be late anyway and should yield to those that are not.
  * @property work what the generation adds to the replica's load.
  */
 public data class Placement(
@@ -44,4 +45,5 @@
     val fetchTokens: Int,
     val expectedMillis: Double,
     val work: Work,
+    val deferred: Boolean = false,
 )
--- a/library/src/main/kotlin/org/celerywalk/routing/ModelReplicaChooser.kt
+++ b/library/src/main/kotlin/org/celerywalk/routing/ModelReplicaChooser.kt
@@ -46,7 +46,23 @@
         val healthy = usable.filterNot { loads.of(it.id).health.ejected }.ifEmpty { usable }
         val quiet = healthy.filterNot { loads.of(it.id).changesWeights }.ifEmpty { healthy }
         val round = Round(generation, replicas, service, weights, home(generation, quiet))
-        return quiet.map(round::place).minByOrNull { it.score }?.placement?.also { reserveLink(it, service) }
+        val placement = quiet.map(round::place).minByOrNull { it.score }?.placement
+        return placement?.let { deferIfLate(it, generation) }?.also { reserveLink(it, service) }
+    }
+
+    /**
+     * Defers a generation that would be late: if all took their turn under too much load, all would be late.
+     * The replica reads the deferred ones when the others allow it.
+     */
+    private fun deferIfLate(placement: Placement, generation: Generation): Placement {
+        if (placement.expectedMillis.milliseconds <= generation.firstTokenWithin * SURELY_LATE) return placement
+        val deferred = loads.of(placement.endpoint.id).work().deferredTokens / prefillTokensPerMilli
+        val work = placement.work
+        return placement.copy(
+            expectedMillis = placement.expectedMillis + deferred,
+            work = work.copy(unreadTokens = 0, deferredTokens = work.unreadTokens),
+            deferred = true,
+        )
     }
 
     private fun version(replica: RegisteredEndpoint, model: String): Int =
--- a/library/src/main/kotlin/org/celerywalk/stream/RelocatableStreams.kt
+++ b/library/src/main/kotlin/org/celerywalk/stream/RelocatableStreams.kt
@@ -6,8 +6,8 @@
 /**
  * Holds the streams in progress that can go on at another endpoint, by the endpoint that makes them.
  *
- * An endpoint that drains keeps its place until the last of its streams has ended. Streams that can be resumed elsewhere
- * need not hold it up. Safe for use from several threads.
+ * An endpoint that drains is held up by its longest stream, unless that can be resumed elsewhere. Safe for use from
+ * several threads.
  */
 public class RelocatableStreams {
     private val byEndpoint = ConcurrentHashMap<String, MutableSet<RelocatableStream>>()
--- a/library/src/main/kotlin/org/celerywalk/weights/WeightRollout.kt
+++ b/library/src/main/kotlin/org/celerywalk/weights/WeightRollout.kt
@@ -15,10 +15,26 @@
 public class WeightRollout(private val loads: FleetLoads) {
     private val changeTime = MovingDuration(USUAL_CHANGE)
 
-    /** Returns the replicas whose weights of [named] are older, those with the least work first. */
+    /**
+     * Returns the replicas whose weights of [named] are older, in the order in which they should change.
+     *
+     * A replica that fails would hold up those that serve. Of the others, those with the oldest weights may soon not
+     * serve at all, and the one that has least to read is done with its requests soonest.
+     */
     public fun outdated(named: NamedWeights, replicas: List<RegisteredEndpoint>): List<RegisteredEndpoint> = replicas
         .filter { (version(it, named.model) ?: named.version) < named.version }
-        .sortedBy { loads.of(it.id).work().calls }
+        .sortedWith(
+            compareBy(
+                { loads.of(it.id).health.ejected },
+                { version(it, named.model) },
+                { loads.of(it.id).work().unreadTokens },
+                { loads.of(it.id).work().calls },
+            ),
+        )
+
+    /** Time since the oldest weights that one of [outdated] has were superseded. */
+    public fun longestSuperseded(model: String, outdated: List<RegisteredEndpoint>, named: NamedHistory): Duration =
+        outdated.mapNotNull { version(it, model)?.let(named::supersededFor) }.maxOrNull() ?: Duration.ZERO
 
     /** Records that a replica took [time] from the order until it had its new weights. */
     public fun changedAfter(time: Duration) {
--- a/library/src/test/kotlin/org/celerywalk/routing/ModelReplicaChooserTest.kt
+++ b/library/src/test/kotlin/org/celerywalk/routing/ModelReplicaChooserTest.kt
@@ -10,9 +10,11 @@
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertNotEquals
 import kotlin.test.assertNotNull
 import kotlin.test.assertNull
+import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TestTimeSource
@@ -126,6 +128,23 @@
         assertEquals("r2", choose(generation.copy(firstTokenWithin = 600.milliseconds))?.endpoint?.id)
     }
 
+    @Test
+    fun `burst - what would be late yields, and what comes after it is in time again`() {
+        val urgent = generation.copy(firstTokenWithin = 600.milliseconds)
+        val taken = List(40) {
+            assertNotNull(choose(urgent.copy(parts = listOf(PromptPart("p$it", 9_190))))).also { placement ->
+                loads.of(placement.endpoint.id).add(placement.work)
+            }
+        }
+        val (deferred, inTurn) = taken.partition { it.deferred }
+        assertTrue(inTurn.size >= 8, "two prompts of 200 ms fit each of four replicas: ${inTurn.size}")
+        assertTrue(inTurn.all { it.expectedMillis <= 660 })
+        assertTrue(deferred.last().expectedMillis > 1_000, "deferred ones wait for each other too")
+        // The replicas have read what was in turn; the deferred prompts do not delay a new one.
+        replicas.forEach { loads.of(it.id).remove(Work(unreadTokens = loads.of(it.id).work().unreadTokens)) }
+        assertFalse(assertNotNull(choose(urgent)).deferred)
+    }
+
     @Test
     fun `new weights - nothing begins on old ones after the bound`() {
         weights.name(2)
--- a/library/src/test/kotlin/org/celerywalk/weights/WeightRolloutTest.kt
+++ b/library/src/test/kotlin/org/celerywalk/weights/WeightRolloutTest.kt
@@ -47,6 +47,23 @@
         assertEquals(listOf("a", "b"), outdated.map { it.id })
     }
 
+    @Test
+    fun `lost replicas - those that fail are ordered last, however little work they have`() {
+        loads.of("b").add(Work(calls = 3, unreadTokens = 9_000))
+        loads.of("c").add(Work(calls = 5, unreadTokens = 500))
+        repeat(2) { loads.of("a").health.failed() }
+        val outdated = rollout.outdated(NamedWeights("m", 2), listOf("a", "b", "c").map(::replica))
+        assertEquals(listOf("c", "b", "a"), outdated.map { it.id })
+    }
+
+    @Test
+    fun `new weights named twice - replicas with the oldest change first, however much work they have`() {
+        listOf("a", "b").forEach { loads.of(it).sawVersion("m", 2) }
+        listOf("c", "d").forEach { loads.of(it).add(Work(calls = 9, unreadTokens = 20_000)) }
+        val outdated = rollout.outdated(NamedWeights("m", 3), listOf("a", "c", "b", "d").map(::replica))
+        assertEquals(listOf("c", "d", "a", "b"), outdated.map { it.id })
+    }
+
     private fun replica(id: String) =
         RegisteredEndpoint(id, "s", "10.0.0.1:80", "dc", 64, leaving = false, startedAtMillis = null, mapOf("m" to 1))
 }
