--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayServer.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayServer.kt
@@ -31,7 +31,7 @@
     private val handler: RequestHandler,
     private val pages: GatewayPages,
 ) {
-    // Jetty's own queue loads the classes of the JVM's management, which takes a quarter of the start.
+    // Jetty's own queue loads the classes of the JVM's management, which delays the start.
     private val threads =
         QueuedThreadPool(MAX_THREADS, MIN_THREADS, THREAD_IDLE_MILLIS, 0, LinkedBlockingQueue(), null).apply {
             name = "http"
