Report dropped log lines without waiting for a further line

The log reported drops only with the first line of a later second. The test wrote that line while the ring was still full, so it was dropped too. The same happens in a process whose last second overflows: the count is never told. Change: drops are also reported when the ring runs empty and at the end.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/EventLog.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/EventLog.kt
@@ -6,18 +6,23 @@
 import java.io.StringWriter
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Writes one JSON line for each decision, from a thread of its own.
  *
  * Callers never wait: when the ring is full or a second's limit is reached, lines are dropped, counted and reported in
- * a later `log_dropped` line.
+ * a `log_dropped` line: with the next second, when the log has nothing else to write, or at the end.
+ *
+ * @param closeWithin time that [close] waits for the lines in the ring.
  */
 public class EventLog(
     private val instance: String,
     private val out: PrintStream = System.out,
     private val wallMillis: () -> Long = System::currentTimeMillis,
     private val ringLines: Int = RING_LINES,
+    private val closeWithin: Duration = CLOSE_WITHIN,
 ) : AutoCloseable {
     private class Line(val millis: Long, val event: String, val fields: Array<out Pair<String, Any?>>)
 
@@ -43,7 +48,7 @@
     /** Writes what is in the ring and stops. */
     override fun close() {
         open = false
-        thread.join(CLOSE_MILLIS)
+        thread.join(closeWithin.inWholeMilliseconds)
     }
 
     private fun run() {
@@ -51,22 +56,28 @@
         var lines = 0
         var told = 0L
         while (open || !ring.isEmpty) {
-            val line = ring.poll(POLL_MILLIS, TimeUnit.MILLISECONDS) ?: continue
-            if (line.millis / MILLIS_PER_SECOND != second) {
-                second = line.millis / MILLIS_PER_SECOND
+            val line = ring.poll(POLL_MILLIS, TimeUnit.MILLISECONDS)
+            val millis = line?.millis ?: wallMillis()
+            if (line == null || millis / MILLIS_PER_SECOND != second) told = reportDropped(millis, told)
+            if (line == null) continue
+            if (millis / MILLIS_PER_SECOND != second) {
+                second = millis / MILLIS_PER_SECOND
                 lines = 0
-                told = reportDropped(line.millis, told)
             }
             lines++
             if (lines <= LINES_PER_SECOND) out.println(format(line)) else dropped.incrementAndGet()
             if (ring.isEmpty) out.flush()
         }
+        reportDropped(wallMillis(), told)
         out.flush()
     }
 
     private fun reportDropped(millis: Long, told: Long): Long {
         val total = dropped.get()
-        if (total > told) out.println(format(Line(millis, "log_dropped", arrayOf("lines" to total - told))))
+        if (total > told) {
+            out.println(format(Line(millis, "log_dropped", arrayOf("lines" to total - told))))
+            out.flush()
+        }
         return total
     }
 
@@ -97,7 +108,7 @@
         // A gateway writes about four lines for a request, and takes at most a few hundred requests a second.
         const val LINES_PER_SECOND = 2_000
         const val POLL_MILLIS = 200L
-        const val CLOSE_MILLIS = 500L
+        val CLOSE_WITHIN = 500.milliseconds
         const val MILLIS_PER_SECOND = 1_000L
         const val LINE_CHARS = 256
     }
