--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
@@ -9,6 +9,7 @@
 import org.celerywalk.platform.wire.ReplicaCalls
 import org.celerywalk.routing.ModelReplicaChooser
 import org.celerywalk.routing.ServiceEndpointChooser
+import java.nio.channels.ServerSocketChannel
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.locks.LockSupport
 import java.util.logging.Level
@@ -17,8 +18,12 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Runs a gateway: serves callers and calls endpoints directly. */
-public class GatewayDaemon(private val settings: GatewaySettings) {
+/**
+ * Runs a gateway: serves callers and calls endpoints directly.
+ *
+ * @param callersSocket listening socket on the address for callers, or null to open one at the start.
+ */
+public class GatewayDaemon(private val settings: GatewaySettings, callersSocket: ServerSocketChannel? = null) {
     private val log = EventLog(settings.instance)
     private val metrics = GatewayMetrics()
     private val timeSource = SuspendAwareTimeSource()
@@ -36,7 +41,7 @@
         WeightsDuty(state, lease, replicas, log, { !lease.holds && peers.leaseIsElsewhere }, peers::tellSoon)
     private val cacheEvents = CacheEventDuties(state, replicas, log)
     private val handler = RequestHandler(state, forwardingParts(), log, metrics)
-    private val server = GatewayServer(settings, handler, Pages())
+    private val server = GatewayServer(settings, handler, Pages(), callersSocket)
 
     // Kept in a field, since java.util.logging forgets the level of a logger that nobody refers to.
     private val jettyAnswers = Logger.getLogger("org.eclipse.jetty.server.Response")
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayServer.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayServer.kt
@@ -12,6 +12,7 @@
 import org.eclipse.jetty.server.ServerConnector
 import org.eclipse.jetty.util.Callback
 import org.eclipse.jetty.util.thread.QueuedThreadPool
+import java.nio.channels.ServerSocketChannel
 import java.util.concurrent.LinkedBlockingQueue
 
 /** Holds the pages for the platform and for operators. */
@@ -25,11 +26,14 @@
  * Serves callers, the platform's readiness checks and the metrics, each on an address of its own.
  *
  * Built on Jetty without Javalin's servlet layer, which delays the start of a gateway.
+ *
+ * @param callersSocket listening socket on the address for callers, or null to open one at the start.
  */
 internal class GatewayServer(
     private val settings: GatewaySettings,
     private val handler: RequestHandler,
     private val pages: GatewayPages,
+    callersSocket: ServerSocketChannel?,
 ) {
     // Jetty's own queue loads the classes of the JVM's management, which delays the start.
     private val threads =
@@ -38,7 +42,9 @@
         }
     private val server = Server(threads).also { server ->
         val http = HttpConfiguration().apply { configure() }
-        server.addConnector(WatchedConnector(server, http).on(settings.callers))
+        val callers = WatchedConnector(server, http).on(settings.callers)
+        callersSocket?.let(callers::open)
+        server.addConnector(callers)
         server.addConnector(plainConnector(server, http).on(settings.readiness))
         server.addConnector(plainConnector(server, http).on(settings.metrics))
         server.handler = Dispatch()
@@ -71,7 +77,7 @@
         it.host = address.host
         it.port = address.port
         it.idleTimeout = IDLE_MILLIS
-        it.acceptQueueSize = ACCEPT_QUEUE
+        it.acceptQueueSize = CallersSocket.QUEUED_CONNECTIONS
     }
 
     private fun HttpConfiguration.configure() {
@@ -96,7 +102,6 @@
         const val THREAD_IDLE_MILLIS = 60_000
         const val HEADER_BYTES = 32 * 1024
         const val BUFFER_BYTES = 8 * 1024
-        const val ACCEPT_QUEUE = 512
 
         // Above the idle time that callers keep to, so that a connection is not closed under a request.
         const val IDLE_MILLIS = 60_000L
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewaySettings.kt
@@ -5,6 +5,17 @@
 /** Holds the IPv4 address and port of a listener or peer. */
 public data class SocketAddress(val host: String, val port: Int) {
     override fun toString(): String = "$host:$port"
+
+    public companion object {
+        private const val LAST_PORT = 65_535
+
+        /** Parses `HOST:PORT`, or returns null if [text] is something else. */
+        public fun parse(text: String): SocketAddress? {
+            val host = text.substringBeforeLast(':', "")
+            val port = text.substringAfterLast(':', "").toIntOrNull()
+            return if (host.isEmpty() || port == null || port !in 0..LAST_PORT) null else SocketAddress(host, port)
+        }
+    }
 }
 
 /**
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewaySettingsFile.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewaySettingsFile.kt
@@ -75,12 +75,9 @@
 
         private fun address(key: String): SocketAddress {
             val value = text(key)
-            val port = value.substringAfterLast(':', "").toIntOrNull()
-            if (port == null || port !in PORTS) faults += "$key: '$value'; expected HOST:PORT"
-            return SocketAddress(value.substringBeforeLast(':'), port ?: 0)
+            val address = SocketAddress.parse(value)
+            if (address == null) faults += "$key: '$value'; expected HOST:PORT"
+            return address ?: SocketAddress(value, 0)
         }
     }
-
-    private const val LAST_PORT = 65_535
-    private val PORTS = 0..LAST_PORT
 }
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/Membership.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/Membership.kt
@@ -73,12 +73,12 @@
     }
 
     private fun update(name: String, text: String) {
-        val port = text.substringAfterLast(':', "").toIntOrNull()
-        if (port == null) {
+        val address = SocketAddress.parse(text)
+        if (address == null) {
             log.write("row_unreadable", "table" to MEMBERS_TABLE, "key" to name)
-            return
+        } else {
+            update(name, address)
         }
-        update(name, SocketAddress(text.substringBeforeLast(':'), port))
     }
 
     private fun update(name: String, address: SocketAddress) {
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/GatewayTest.kt
@@ -11,6 +11,7 @@
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.nio.channels.ServerSocketChannel
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.locks.LockSupport
@@ -55,6 +56,15 @@
         assertEquals(1, endpoints.sumOf { it.arrived.size })
     }
 
+    @Test
+    fun `a caller that connects before the process has loaded is answered`() {
+        endpoint(EndpointStandIn.answer(200, "fine", "X-Response-Signature: sig"))
+        val socket = CallersSocket.open(SocketAddress("127.0.0.1", ports[0]))
+        val early = CompletableFuture.supplyAsync { status("/once/x", body = "swap") }
+        launch(socket)
+        assertEquals(200, early.get(30, TimeUnit.SECONDS))
+    }
+
     @Test
     fun `a request that an endpoint has not run goes to another one`() {
         endpoint(EndpointStandIn.answer(503, "", "X-Not-Executed: 1"))
@@ -196,7 +206,7 @@
         await { runCatching { get("http://127.0.0.1:${ports[1]}/v1/readiness").code }.getOrNull() == 200 }
     }
 
-    private fun launch() {
+    private fun launch(callersSocket: ServerSocketChannel? = null) {
         store.put("op", "config", configuration(version = 1, key = "k-1"))
         register()
         val settings = GatewaySettingsFile.parse(
@@ -209,7 +219,7 @@
                         retry-allowance: 600, order-lease-ms: 3000, weights-deadline-ms: 8000, quota-overage: 0.1 } }
             """.trimIndent(),
         ).fold({ error(it.joinToString()) }, { it })
-        GatewayDaemon(settings).start()
+        GatewayDaemon(settings, callersSocket).start()
     }
 
     private fun tellAsPeer(message: String) = DatagramSocket().use {
