--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayServer.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayServer.kt
@@ -12,8 +12,11 @@
 import org.eclipse.jetty.server.ServerConnector
 import org.eclipse.jetty.util.Callback
 import org.eclipse.jetty.util.thread.QueuedThreadPool
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler
 import java.nio.channels.ServerSocketChannel
 import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.ScheduledThreadPoolExecutor
+import java.util.concurrent.ThreadFactory
 
 /** Holds the pages for the platform and for operators. */
 internal interface GatewayPages {
@@ -35,12 +38,20 @@
     private val pages: GatewayPages,
     callersSocket: ServerSocketChannel?,
 ) {
-    // Jetty's own queue loads the classes of the JVM's management, which delays the start.
-    private val threads =
-        QueuedThreadPool(MAX_THREADS, MIN_THREADS, THREAD_IDLE_MILLIS, 0, LinkedBlockingQueue(), null).apply {
-            name = "http"
-        }
-    private val server = Server(threads).also { server ->
+    // Jetty's own queue loads the classes of the JVM's management, and its thread factory those of method handles; both
+    // delay the start.
+    private val threadFactory = ThreadFactory { task -> Thread(task, "http").apply { isDaemon = true } }
+    private val threads = QueuedThreadPool(
+        MAX_THREADS,
+        MIN_THREADS,
+        THREAD_IDLE_MILLIS,
+        0,
+        LinkedBlockingQueue(),
+        null,
+        threadFactory,
+    )
+    private val timers = ScheduledThreadPoolExecutor(1, threadFactory).apply { removeOnCancelPolicy = true }
+    private val server = Server(threads, ScheduledExecutorScheduler(timers), null).also { server ->
         val http = HttpConfiguration().apply { configure() }
         val callers = WatchedConnector(server, http).on(settings.callers)
         callersSocket?.let(callers::open)
