Don't let generations that yield make others look late

In seconds 8 to 14 all 62 and 51 placements on two of the five replicas were deferred, with 52 to 60 calls at each and an expected time of 2.6 to 3.0 s: nothing was placed in time any more, although deferred generations are sent with the least priority and the replica preempts them. The estimate left their unread prompts out, but counted the memory and the slots that they hold, so a backlog of deferred generations made every new one look late, which was deferred too, until the load ended. Ruled out: reading (26 of 50 tokens a ms), dark replicas (28 of 670 placements from second 4 to 16 went there). Change: load says which calls and which memory yield; a generation waits for those that don't, a deferred one for all.

--- a/library/src/main/kotlin/org/celerywalk/routing/EndpointLoad.kt
+++ b/library/src/main/kotlin/org/celerywalk/routing/EndpointLoad.kt
@@ -11,15 +11,31 @@
  *
  * @property calls calls without a final answer.
  * @property unreadTokens prompt tokens that the endpoint still has to read, without the deferred ones.
- * @property deferredTokens prompt tokens that it reads once it has nothing else to read.
  * @property cacheTokens KV cache memory that the calls take in the end.
+ * @property deferredTokens prompt tokens that it reads once it has nothing else to read.
+ * @property deferredCalls those of [calls] that yield their slots to others.
+ * @property deferredCacheTokens part of [cacheTokens] that the deferred calls yield to others.
  */
 public data class Work(
     val calls: Int = 0,
     val unreadTokens: Long = 0,
     val cacheTokens: Long = 0,
     val deferredTokens: Long = 0,
+    val deferredCalls: Int = 0,
+    val deferredCacheTokens: Long = 0,
 ) {
+    /** The same work if it yields to others. */
+    public fun deferred(): Work = Work(
+        calls = calls,
+        cacheTokens = cacheTokens,
+        deferredTokens = unreadTokens + deferredTokens,
+        deferredCalls = calls,
+        deferredCacheTokens = cacheTokens,
+    )
+
+    /** The part that does not yield. */
+    public fun withoutDeferred(): Work = Work(calls - deferredCalls, unreadTokens, cacheTokens - deferredCacheTokens)
+
     public operator fun plus(other: Work): Work = combine(other, sign = 1)
 
     public operator fun minus(other: Work): Work = combine(other, sign = -1)
@@ -29,6 +45,8 @@
         unreadTokens + sign * other.unreadTokens,
         cacheTokens + sign * other.cacheTokens,
         deferredTokens + sign * other.deferredTokens,
+        deferredCalls + sign * other.deferredCalls,
+        deferredCacheTokens + sign * other.deferredCacheTokens,
     )
 }
 
--- a/library/src/main/kotlin/org/celerywalk/routing/ModelReplicaChooser.kt
+++ b/library/src/main/kotlin/org/celerywalk/routing/ModelReplicaChooser.kt
@@ -46,21 +46,20 @@
         val healthy = usable.filterNot { loads.of(it.id).health.ejected }.ifEmpty { usable }
         val quiet = healthy.filterNot { loads.of(it.id).changesWeights }.ifEmpty { healthy }
         val round = Round(generation, replicas, service, weights, home(generation, quiet))
-        val placement = quiet.map(round::place).minByOrNull { it.score }?.placement
-        return placement?.let { deferIfLate(it, generation) }?.also { reserveLink(it, service) }
+        val best = quiet.map(round::place).minByOrNull { it.score }
+        return best?.let { deferIfLate(it, generation) }?.also { reserveLink(it, service) }
     }
 
     /**
      * Defers a generation that would be late: if all took their turn under too much load, all would be late.
      * The replica reads the deferred ones when the others allow it.
      */
-    private fun deferIfLate(placement: Placement, generation: Generation): Placement {
+    private fun deferIfLate(candidate: Candidate, generation: Generation): Placement {
+        val placement = candidate.placement
         if (placement.expectedMillis.milliseconds <= generation.firstTokenWithin * SURELY_LATE) return placement
-        val deferred = loads.of(placement.endpoint.id).work().deferredTokens / prefillTokensPerMilli
-        val work = placement.work
         return placement.copy(
-            expectedMillis = placement.expectedMillis + deferred,
-            work = work.copy(unreadTokens = 0, deferredTokens = work.unreadTokens),
+            expectedMillis = candidate.expectedIfDeferred,
+            work = placement.work.deferred(),
             deferred = true,
         )
     }
@@ -82,7 +81,7 @@
         return replicas.maxByOrNull { (shared.last().id + it.id).hashCode() * HASH_SPREAD }?.id
     }
 
-    private class Candidate(val placement: Placement, val score: Double)
+    private class Candidate(val placement: Placement, val score: Double, val expectedIfDeferred: Double)
 
     private class Source(val address: String, val tokens: Int, val millis: Double)
 
@@ -103,18 +102,20 @@
             val source = bestSource(replica, scope, cached)
             val fetched = if (source == null) 0 else source.tokens - cached
             val unread = max(0, generation.promptTokens - cached - fetched)
-            val expected = waitMillis(replica) + unread / prefillTokensPerMilli + (source?.millis ?: 0.0)
+            val atReplica = loads.of(replica.id).work()
+            val own = unread / prefillTokensPerMilli + (source?.millis ?: 0.0) + atReplica.calls * MILLIS_PER_CALL
+            val expected = own + waitMillis(atReplica.withoutDeferred())
             val work = Work(1, unread.toLong(), (generation.promptTokens + generation.outputTokens).toLong())
             val placement = Placement(replica, scope, version, cached, source?.address, fetched, expected, work)
-            return Candidate(placement, expected + penaltyMillis(placement))
+            return Candidate(placement, expected + penaltyMillis(placement), own + waitMillis(atReplica))
         }
 
-        private fun waitMillis(replica: RegisteredEndpoint): Double {
-            val work = loads.of(replica.id).work()
+        // Time until [ahead] has been read and leaves memory and a slot.
+        private fun waitMillis(ahead: Work): Double {
             val need = generation.promptTokens + generation.outputTokens
-            val missingMemory = max(0.0, work.cacheTokens + need - service.engine.cacheTokens * USABLE_CACHE)
-            val missingSlots = max(0, work.calls + 1 - service.engine.slots)
-            return work.unreadTokens / prefillTokensPerMilli + work.calls * MILLIS_PER_CALL +
+            val missingMemory = max(0.0, ahead.cacheTokens + need - service.engine.cacheTokens * USABLE_CACHE)
+            val missingSlots = max(0, ahead.calls + 1 - service.engine.slots)
+            return (ahead.unreadTokens + ahead.deferredTokens) / prefillTokensPerMilli +
                 missingMemory / DRAIN_TOKENS_PER_MILLI + missingSlots * MILLIS_PER_SLOT
         }
 
--- a/library/src/test/kotlin/org/celerywalk/routing/ModelReplicaChooserTest.kt
+++ b/library/src/test/kotlin/org/celerywalk/routing/ModelReplicaChooserTest.kt
@@ -145,6 +145,23 @@
         assertFalse(assertNotNull(choose(urgent)).deferred)
     }
 
+    @Test
+    fun `burst - memory and slots of generations that yield do not make a new one late`() {
+        val urgent = generation.copy(firstTokenWithin = 600.milliseconds)
+        val taken = List(100) {
+            assertNotNull(choose(urgent.copy(parts = listOf(PromptPart("p$it", 9_190))))).also { placement ->
+                loads.of(placement.endpoint.id).add(placement.work)
+            }
+        }
+        val (deferred, inTurn) = taken.partition { it.deferred }
+        assertTrue(deferred.sumOf { it.work.cacheTokens } > 4 * 116_000, "deferred ones fill all memory")
+        inTurn.forEach { loads.of(it.endpoint.id).remove(it.work) }
+        val next = assertNotNull(choose(urgent))
+        assertFalse(next.deferred, "expected after ${next.expectedMillis} ms")
+        val last = assertNotNull(choose(urgent.copy(promptTokens = 40_000)))
+        assertTrue(last.deferred && last.expectedMillis > 2_000, "a deferred one waits for the others: $last")
+    }
+
     @Test
     fun `new weights - nothing begins on old ones after the bound`() {
         weights.name(2)
