Drop endpoints whose address has passed to another start

Ruled out: other weights than expected (the report showed the expected ones), a full replica (30 answers 503 only). Change: a registration is dropped when a later start registers the same address; a 421 that is not explained by other weights ejects the endpoint at once, for longer each time; an endpoint that refuses an order is left alone for a second; a refusal no longer counts as a sign of health. Tests, each seen to fail: the directory (3, two of them failed: "expected: <[a]> but was: <[]>"), the gateway (expected 1 send, was 10), the orders (expected 1, was 6); the ejection by construction only.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointSend.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointSend.kt
@@ -43,7 +43,8 @@
             ?: return Verdict.Unplaced("path_not_canonical", Duration.ZERO)
         atMost?.let { call.timeout().timeout(it.inWholeMilliseconds.coerceAtLeast(1), TimeUnit.MILLISECONDS) }
         exchange.attach(call)
-        return relocatable(endpoint, call, mayRelocate) { judge(endpoint, call, onAnswer) }
+        val expectedVersion = forwarded.generation?.expectedVersion
+        return relocatable(endpoint, call, mayRelocate) { judge(endpoint, call, expectedVersion, onAnswer) }
     }
 
     private fun relocatable(
@@ -62,7 +63,12 @@
         return verdict
     }
 
-    private fun judge(endpoint: RegisteredEndpoint, call: Call, onAnswer: () -> Unit): Verdict =
+    private fun judge(
+        endpoint: RegisteredEndpoint,
+        call: Call,
+        expectedVersion: Int?,
+        onAnswer: () -> Unit,
+    ): Verdict =
         when (val result = calls.client.send(call)) {
             is SendResult.NotSent -> Verdict.NotRun(result.cause, arrived = false)
             is SendResult.Lost -> Verdict.Lost(result.cause)
@@ -70,7 +76,7 @@
                 val meta = EndpointAnswer.decode(response.code) { response.header(it) }
                 learn(endpoint, meta)
                 if (meta.notExecuted) {
-                    notExecuted(endpoint, response.code, meta)
+                    notExecuted(endpoint, response.code, meta, expectedVersion)
                 } else {
                     relay.relay(response, meta, onAnswer)
                 }
@@ -81,7 +87,7 @@
         val load = state.loads.of(endpoint.id)
         when {
             exchange.cut != null && time < patience(endpoint) -> Unit
-            verdict is Verdict.Relocated -> Unit
+            verdict is Verdict.Relocated || verdict is Verdict.NotRun && verdict.arrived -> Unit
             verdict.unreachable -> if (load.health.failed()) {
                 calls.log.write("endpoint_ejected", "endpoint" to endpoint.id, "service" to endpoint.service)
             }
@@ -104,7 +110,12 @@
     }
 
     // Other weights than expected, or none while they are being changed: the replica's report tells.
-    private fun notExecuted(endpoint: RegisteredEndpoint, status: Int, meta: EndpointAnswer): Verdict {
+    private fun notExecuted(
+        endpoint: RegisteredEndpoint,
+        status: Int,
+        meta: EndpointAnswer,
+        expectedVersion: Int?,
+    ): Verdict {
         val load = state.loads.of(endpoint.id)
         if (exchange.caller.model != null && status == MISDIRECTED && meta.weightsVersion == null) {
             calls.replicas.report(endpoint.address, REPORT_TIMEOUT).onRight { report ->
@@ -112,6 +123,11 @@
             }
         }
         if (exchange.caller.model != null && status == UNAVAILABLE) load.startedWeightChange(FULL_HOLDS)
+        // Neither the answer nor the report tells of other weights than expected: another start has the address now.
+        val sameVersion = exchange.caller.model?.let(load::version) == expectedVersion
+        if (status == MISDIRECTED && sameVersion && load.health.replaced()) {
+            calls.log.write("endpoint_replaced", "endpoint" to endpoint.id, "address" to endpoint.address)
+        }
         return Verdict.NotRun("status_$status", arrived = true)
     }
 
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/WeightsDuty.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/WeightsDuty.kt
@@ -3,6 +3,7 @@
 import org.celerywalk.endpoint.RegisteredEndpoint
 import org.celerywalk.platform.wire.OrderOutcome
 import org.celerywalk.platform.wire.ReplicaCalls
+import org.celerywalk.platform.wire.ReplicaReport
 import org.celerywalk.platform.wire.WeightOrder
 import org.celerywalk.weights.NamedWeights
 import org.celerywalk.weights.WeightRollout
@@ -89,8 +90,7 @@
         val version = report?.versions?.get(weights.model)
         if (version != null) state.loads.of(replica.id).sawVersion(weights.model, version)
         if (report == null) unreachable[replica.id] = state.timeSource.markNow()
-        val needed = report != null && !report.carriesOutOrder && (version ?: 0) < weights.version
-        val fence = if (needed) lease.confirmed() else null
+        val fence = if (report?.needs(weights) == true) lease.confirmed() else null
         if (report == null || fence == null) return false
         val count = maxOf(report.ordersAccepted, orderedCounts[replica.id] ?: 0)
         val order = WeightOrder(replica.id, weights, state.settings.instance, fence, count)
@@ -113,7 +113,8 @@
             OrderOutcome.ALREADY_DONE -> state.loads.of(replica.id).sawVersion(weights.model, weights.version)
             // The order may be carried out all the same.
             null -> loading[replica.id] = Loading(weights, state.timeSource.markNow())
-            else -> orderedCounts.remove(replica.id)
+            OrderOutcome.REFUSED -> unreachable[replica.id] = state.timeSource.markNow()
+            OrderOutcome.CONFLICT -> orderedCounts.remove(replica.id)
         }
         return replica.id in loading
     }
@@ -143,7 +144,7 @@
         val PERIOD = 100.milliseconds
         val CALL_TIMEOUT = 400.milliseconds
 
-        // Asking a replica that is down takes the whole time of a call.
+        // Asking a replica that is down takes the whole time of a call; one that was replaced is soon registered anew.
         val UNREACHABLE_PAUSE = 1.seconds
 
         // Runs that are at the replica end first, then the weights are loaded.
@@ -156,3 +157,6 @@
         val REPORT_LAG = 500.milliseconds
     }
 }
+
+private fun ReplicaReport.needs(weights: NamedWeights): Boolean =
+    !carriesOutOrder && (versions[weights.model] ?: 0) < weights.version
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/GatewayTest.kt
@@ -26,6 +26,9 @@
     private val store = StoreStandIn()
     private val client = OkHttpClient.Builder().retryOnConnectionFailure(false).build()
     private val endpoints = mutableListOf<EndpointStandIn>()
+
+    // The endpoint with the most slots is preferred among idle ones.
+    private var slotsOfFirst = 4
     private val ports = List(4) { ServerSocket(0).use { it.localPort } }
 
     @AfterEach
@@ -65,6 +68,16 @@
         assertEquals(200, early.get(30, TimeUnit.SECONDS))
     }
 
+    @Test
+    fun `an endpoint whose address has passed to another start gets no further work`() {
+        val replaced = endpoint(EndpointStandIn.answer(421, ""))
+        endpoint(EndpointStandIn.answer(200, "fine", "X-Response-Signature: sig"))
+        slotsOfFirst = 64
+        start()
+        repeat(10) { assertEquals(200, status("/safe/x")) }
+        assertEquals(1, replaced.arrived.size)
+    }
+
     @Test
     fun `a request that an endpoint has not run goes to another one`() {
         endpoint(EndpointStandIn.answer(503, "", "X-Not-Executed: 1"))
@@ -227,7 +240,8 @@
     }
 
     private fun register() = endpoints.forEachIndexed { i, endpoint ->
-        val text = """{"backend":"s","address":"${endpoint.address}","zone":"dc","slots":4,"state":"ready"}"""
+        val slots = if (i == 0) slotsOfFirst else 4
+        val text = """{"backend":"s","address":"${endpoint.address}","zone":"dc","slots":$slots,"state":"ready"}"""
         store.put("servers", "i-$i", text)
     }
 
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/WeightsDutyTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/WeightsDutyTest.kt
@@ -6,9 +6,9 @@
 import org.celerywalk.platform.wire.PlatformCalls
 import org.celerywalk.platform.wire.PlatformTable
 import org.celerywalk.platform.wire.ReplicaCalls
-import org.celerywalk.stream.RelocatableStream
 import org.celerywalk.weights.NamedWeights
 import org.junit.jupiter.api.AfterEach
+import org.celerywalk.stream.RelocatableStream
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.locks.LockSupport
 import kotlin.test.Test
@@ -29,9 +29,12 @@
 
     @Volatile
     private var busy = false
+
+    @Volatile
+    private var orderStatus = 202
     private val replica = EndpointStandIn { request, socket ->
-        if (request.line.startsWith("POST")) busy = true
-        val status = if (request.line.startsWith("POST")) 202 else 200
+        if (request.line.startsWith("POST")) busy = orderStatus == 202
+        val status = if (request.line.startsWith("POST")) orderStatus else 200
         val report = """{"models":[{"name":"m","version":$version}],"sequence":0,"busy":$busy}"""
         EndpointStandIn.answer(status, report)(request, socket)
     }
@@ -92,6 +95,16 @@
         assertEquals(false, otherIsFree)
     }
 
+    @Test
+    fun `a replica that was replaced at its address refuses an order - it is not repeated until the registry tells`() {
+        orderStatus = 421
+        know(version = 2)
+        duty.start()
+        await { orders() == 1 }
+        LockSupport.parkNanos(600.milliseconds.inWholeNanoseconds)
+        assertEquals(1, orders())
+    }
+
     @Test
     fun `store away - a process without the lease keeps no replica from its work`() {
         store.up = false
--- a/library/src/main/kotlin/org/celerywalk/endpoint/EndpointDirectory.kt
+++ b/library/src/main/kotlin/org/celerywalk/endpoint/EndpointDirectory.kt
@@ -8,7 +8,9 @@
  * Holds the endpoints that may be called, from successive readings of the platform's registry.
  *
  * Registrations may lapse while the registry is away, and return shortly after it. An endpoint that is missing after an
- * outage therefore stays until [returnTime] has passed since the first reading. Safe for use from several threads.
+ * outage therefore stays until [returnTime] has passed since the first reading. An endpoint that crashed stays
+ * registered for some seconds; it is gone as soon as a later start registers its address. Safe for use from several
+ * threads.
  *
  * @param outageAfter time without a reading that counts as an outage.
  */
@@ -39,13 +41,23 @@
         val read = entries.associateBy { it.id }
         val kept = if (returning) known.filterKeys { it !in read } else emptyMap()
         val before = known
-        known = read + kept
+        known = withoutReplaced(read + kept)
         return DirectoryChange(
             added = known.values.filter { it.id !in before },
             left = known.values.filter { it.leaving && before[it.id]?.leaving == false },
             removed = before.values.filter { it.id !in known },
         )
     }
+
+    private fun withoutReplaced(endpoints: Map<String, RegisteredEndpoint>): Map<String, RegisteredEndpoint> {
+        val latestStarts = HashMap<String, Long>()
+        endpoints.values.forEach { endpoint ->
+            endpoint.startedAtMillis?.let { latestStarts.merge(endpoint.address, it, ::maxOf) }
+        }
+        return endpoints.filterValues { endpoint ->
+            endpoint.startedAtMillis == null || endpoint.startedAtMillis == latestStarts[endpoint.address]
+        }
+    }
 }
 
 /** Lists the endpoints that a reading added, showed as leaving, or no longer names. */
--- a/library/src/main/kotlin/org/celerywalk/endpoint/EndpointHealth.kt
+++ b/library/src/main/kotlin/org/celerywalk/endpoint/EndpointHealth.kt
@@ -39,6 +39,17 @@
     @Synchronized
     public fun failed(): Boolean {
         failures += SMOOTHING * (1 - failures)
+        return eject()
+    }
+
+    /** Records that another start answers at the endpoint's address, and returns true if it ejected the endpoint. */
+    @Synchronized
+    public fun replaced(): Boolean {
+        failures = 1.0
+        return eject()
+    }
+
+    private fun eject(): Boolean {
         val ejects = failures > EJECT_ABOVE && !(readmittedAt?.hasNotPassedNow() ?: false)
         if (ejects) {
             val doublings = min(ejections, MAX_DOUBLINGS)
--- a/library/src/test/kotlin/org/celerywalk/endpoint/EndpointDirectoryTest.kt
+++ b/library/src/test/kotlin/org/celerywalk/endpoint/EndpointDirectoryTest.kt
@@ -41,6 +41,34 @@
         assertEquals(emptyList(), directory.serving("s"))
     }
 
-    private fun endpoint(id: String) =
-        RegisteredEndpoint(id, "s", "10.0.0.1:80", "dc", slots = 4, leaving = false, null, emptyMap())
+    @Test
+    fun `an endpoint whose address has passed to a later start is gone`() {
+        directory.read(listOf(endpoint("a", "10.0.0.1:80", 1_000), endpoint("b", "10.0.0.2:80", 1_000)))
+        val change = directory.read(
+            listOf(
+                endpoint("a", "10.0.0.1:80", 1_000),
+                endpoint("b", "10.0.0.2:80", 1_000),
+                endpoint("a2", "10.0.0.1:80", 9_000),
+            ),
+        )
+        assertEquals(listOf("a"), change.removed.map { it.id })
+        assertEquals(listOf("a2", "b"), directory.serving("s").map { it.id }.sorted())
+    }
+
+    @Test
+    fun `a registration that has not returned after an outage doesn't outlive a later start at its address`() {
+        directory.read(listOf(endpoint("a", "10.0.0.1:80", 1_000)))
+        time += 10.seconds
+        directory.read(listOf(endpoint("a2", "10.0.0.1:80", 9_000)))
+        assertEquals(listOf("a2"), directory.serving("s").map { it.id })
+    }
+
+    @Test
+    fun `endpoints at one address that don't say when they started are all kept`() {
+        directory.read(listOf(endpoint("a", "10.0.0.1:80", null), endpoint("a2", "10.0.0.1:80", 9_000)))
+        assertEquals(2, directory.serving("s").size)
+    }
+
+    private fun endpoint(id: String, address: String = "10.0.0.${id.first() - 'a' + 1}:80", startedAt: Long? = null) =
+        RegisteredEndpoint(id, "s", address, "dc", slots = 4, leaving = false, startedAt, emptyMap())
 }
--- a/library/src/test/kotlin/org/celerywalk/endpoint/EndpointHealthTest.kt
+++ b/library/src/test/kotlin/org/celerywalk/endpoint/EndpointHealthTest.kt
@@ -21,6 +21,17 @@
         assertFalse(health.ejected)
     }
 
+    @Test
+    fun `an endpoint that was replaced is ejected at once, and for longer each time`() {
+        assertTrue(health.replaced())
+        assertTrue(health.ejected)
+        time += 1.1.seconds
+        assertFalse(health.ejected)
+        assertTrue(health.replaced())
+        time += 1.5.seconds
+        assertTrue(health.ejected)
+    }
+
     @Test
     fun `a failure after the return ejects for twice as long`() {
         repeat(2) { health.failed() }
