Move the streams first that would hold up new weights longest

Cause: a replica loads new weights when its running requests have ended. Ruled out: raising the share of the budget, which failed requests need; changing under the running requests (what they make afterwards counts for nothing) or breaking them off. Change: the expected rest of a stream follows from its announced length and the learned time for a token; the longest go first, those that end within half a second stay, and the others are asked again when the budget allows. A stream of unknown length counts as long: without that a test of the gateway failed.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointSend.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointSend.kt
@@ -7,7 +7,6 @@
 import org.celerywalk.platform.wire.ForwardedRequest
 import org.celerywalk.route.RequestKind
 import org.celerywalk.route.Route
-import org.celerywalk.stream.RelocatableStream
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -54,11 +53,14 @@
         send: () -> Verdict,
     ): Verdict {
         val sentAt = exchange.elapsed()
-        val stream = mayRelocate?.let { RelocatableStream(it, call::cancel) }
+        val tokens = exchange.caller.expectedOutputTokens ?: exchange.caller.maxOutputTokens
+        val stream = mayRelocate?.let { state.streams.begin(tokens, it, call::cancel) }
         val ended = stream?.let { state.streams.add(endpoint.id, it) }.use { send() }
         val relocated = ended is Verdict.Lost && stream?.relocated == true && exchange.cut == null
         val verdict = if (relocated) Verdict.Relocated else ended
-        record(endpoint, verdict, exchange.elapsed() - sentAt)
+        val time = exchange.elapsed() - sentAt
+        if (stream != null && verdict is Verdict.Answered) state.streams.ended(tokens, time)
+        record(endpoint, verdict, time)
         log(endpoint, verdict)
         return verdict
     }
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/FleetState.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/FleetState.kt
@@ -45,7 +45,7 @@
     val directory = EndpointDirectory(timeSource, REGISTRY_OUTAGE, REGISTRATIONS_RETURN)
     val loads = FleetLoads(timeSource)
     val locations = PartLocations(timeSource, PARTS_ASSUMED)
-    val streams = RelocatableStreams()
+    val streams = RelocatableStreams(timeSource)
     val quotas = ConcurrentHashMap<String, FleetQuota>()
     private val budgets = ConcurrentHashMap<String, RetryBudget>()
     private val named = ConcurrentHashMap<String, NamedHistory>()
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/WeightsDutyTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/WeightsDutyTest.kt
@@ -8,7 +8,6 @@
 import org.celerywalk.platform.wire.ReplicaCalls
 import org.celerywalk.weights.NamedWeights
 import org.junit.jupiter.api.AfterEach
-import org.celerywalk.stream.RelocatableStream
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.locks.LockSupport
 import kotlin.test.Test
@@ -89,7 +88,7 @@
         var otherIsFree: Boolean? = null
         state.loads.of("other")
         state.loads.of("first")
-        val stream = RelocatableStream({ true }) { otherIsFree = !state.loads.of("other").changesWeights }
+        val stream = state.streams.begin(100, { true }) { otherIsFree = !state.loads.of("other").changesWeights }
         state.streams.add("first", stream)
         WeightChanges(state, log).begun(listOf("first", "other"), 1.seconds)
         assertEquals(false, otherIsFree)
