Let gateways share what they find out about failing endpoints

Ruled out: taking over an ejection from one gateway alone, which may itself be the one that is cut off. Change: messages between gateways name the ejected endpoints; a new ejection counts like one failed call. Test: two reports eject (seen to fail: expected "second", was "first"), one that is repeated does not. If the endpoint answers this gateway between two reports, they do not eject it.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/PeerExchange.kt
@@ -2,10 +2,12 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException
 import com.fasterxml.jackson.databind.JsonNode
+import com.fasterxml.jackson.databind.node.ObjectNode
 import org.celerywalk.cache.CacheScope
 import org.celerywalk.cache.PromptPart
 import org.celerywalk.platform.wire.JsonTree
 import org.celerywalk.routing.Work
+import org.celerywalk.weights.NamedHistory
 import org.jctools.queues.MpscArrayQueue
 import java.io.IOException
 import java.net.DatagramPacket
@@ -32,6 +34,7 @@
     private class PlacedParts(val holder: String, val scope: String, val parts: String)
 
     private val weightChanges = WeightChanges(state, log)
+    private val ejections = PeerEjections(state, log)
     private val placements = MpscArrayQueue<PlacedParts>(PLACEMENTS_PER_MESSAGE)
     private val socket = DatagramSocket(InetSocketAddress(state.settings.callers.host, state.settings.peerPort))
     private val sender = PeriodicDuty("peers-send", SEND_PERIOD, log, ::send)
@@ -106,12 +109,10 @@
         }
         val changing = root.putArray(CHANGING)
         state.loads.all().filterValues { it.ordered }.keys.forEach { changing.add(it) }
+        val ejected = root.putArray(EJECTED)
+        state.loads.all().filterValues { it.health.ejected }.keys.forEach { ejected.add(it) }
         val ages = root.putObject(WEIGHT_AGES)
-        models.forEach { model ->
-            val entry = ages.putObject(model)
-            state.weightsOf(model).ages().entries.toList().takeLast(AGES_PER_MODEL)
-                .forEach { (version, age) -> entry.put(version.toString(), age.inWholeMilliseconds) }
-        }
+        models.forEach { state.weightsOf(it).encodeAges(ages.putObject(it)) }
         val placed = root.putArray(PLACED)
         placements.drain { placed.addArray().add(it.holder).add(it.scope).add(it.parts) }
         if (holdsLease()) root.put(LEASE, true)
@@ -161,6 +162,7 @@
             models.properties().forEach { (model, version) -> load?.sawVersion(model, version.asInt()) }
         }
         weightChanges.begun(root.path(CHANGING).map { it.asText() }, CHANGE_REPORT_HOLDS)
+        ejections.reported(peer, root.path(EJECTED).map { it.asText() }.toSet())
         root.path(WEIGHT_AGES).properties().forEach { (model, ages) ->
             ages.properties().forEach { (version, age) -> aged(model, version, age.asLong().milliseconds) }
         }
@@ -202,10 +204,10 @@
         const val WORK = "work"
         const val VERSIONS = "versions"
         const val CHANGING = "changing"
+        const val EJECTED = "ejected"
         const val PLACED = "placed"
         const val LEASE = "lease"
         const val WEIGHT_AGES = "weight-ages"
-        const val AGES_PER_MODEL = 4
         const val PLACEMENTS_PER_MESSAGE = 256
         const val MAX_MESSAGE_BYTES = 60_000
         const val REMEMBERED_MESSAGES = 64
@@ -216,3 +218,9 @@
         val LEASE_REPORT_HOLDS = 600.milliseconds
     }
 }
+
+private fun NamedHistory.encodeAges(to: ObjectNode) = ages().entries.toList().takeLast(AGES_PER_MODEL)
+    .forEach { (version, age) -> to.put(version.toString(), age.inWholeMilliseconds) }
+
+// Versions that were named before these can no longer serve.
+private const val AGES_PER_MODEL = 4
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/GatewayTest.kt
@@ -150,6 +150,28 @@
         assertEquals(listOf(1, 1), endpoints.map { it.arrived.size })
     }
 
+    @Test
+    fun `dark endpoint - a gateway takes over what two others have found`() {
+        endpoint(EndpointStandIn.answer(200, "first", "X-Response-Signature: sig"))
+        endpoint(EndpointStandIn.answer(200, "second", "X-Response-Signature: sig"))
+        slotsOfFirst = 64
+        start()
+        repeat(2) { tellAsPeer("""{"name":"peer-$it","number":1,"ejected":["i-0"]}""") }
+        // Both messages arrive within a few milliseconds; an answer before that would count for the endpoint.
+        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(300))
+        assertEquals("second", call("/safe/x").use { it.body.string() })
+    }
+
+    @Test
+    fun `dark endpoint - a report that is repeated counts once`() {
+        endpoint(EndpointStandIn.answer(200, "first", "X-Response-Signature: sig"))
+        endpoint(EndpointStandIn.answer(200, "second", "X-Response-Signature: sig"))
+        slotsOfFirst = 64
+        start()
+        repeat(10) { tellAsPeer("""{"name":"peer","number":$it,"ejected":["i-0"]}""") }
+        repeat(5) { assertEquals("first", call("/safe/x").use { it.body.string() }) }
+    }
+
     @Test
     fun `work stops when its caller leaves`() {
         val endpoint = endpoint { _, socket ->
