Let only a start of the same service displace a registration

Change: a later start displaces only entries of its own service; an address that passes to another service shows by its refusals. Test: seen to fail ("expected: <[a]> but was: <[]>").

--- a/library/src/main/kotlin/org/celerywalk/endpoint/EndpointDirectory.kt
+++ b/library/src/main/kotlin/org/celerywalk/endpoint/EndpointDirectory.kt
@@ -9,8 +9,8 @@
  *
  * Registrations may lapse while the registry is away, and return shortly after it. An endpoint that is missing after an
  * outage therefore stays until [returnTime] has passed since the first reading. An endpoint that crashed stays
- * registered for some seconds; it is gone as soon as a later start registers its address. Safe for use from several
- * threads.
+ * registered for some seconds; it is gone as soon as a later start of its service registers its address. Safe for use
+ * from several threads.
  *
  * @param outageAfter time without a reading that counts as an outage.
  */
@@ -49,13 +49,14 @@
         )
     }
 
+    // The registry has other writers too: an entry of a service that does not exist displaces nothing.
     private fun withoutReplaced(endpoints: Map<String, RegisteredEndpoint>): Map<String, RegisteredEndpoint> {
-        val latestStarts = HashMap<String, Long>()
+        val latestStarts = HashMap<Pair<String, String>, Long>()
         endpoints.values.forEach { endpoint ->
-            endpoint.startedAtMillis?.let { latestStarts.merge(endpoint.address, it, ::maxOf) }
+            endpoint.startedAtMillis?.let { latestStarts.merge(endpoint.service to endpoint.address, it, ::maxOf) }
         }
-        return endpoints.filterValues { endpoint ->
-            endpoint.startedAtMillis == null || endpoint.startedAtMillis == latestStarts[endpoint.address]
+        return endpoints.filterValues {
+            it.startedAtMillis == null || it.startedAtMillis == latestStarts[it.service to it.address]
         }
     }
 }
--- a/library/src/test/kotlin/org/celerywalk/endpoint/EndpointDirectoryTest.kt
+++ b/library/src/test/kotlin/org/celerywalk/endpoint/EndpointDirectoryTest.kt
@@ -63,6 +63,13 @@
         assertEquals(listOf("a2"), directory.serving("s").map { it.id })
     }
 
+    @Test
+    fun `an entry of another writer for the address of an endpoint doesn't displace it`() {
+        val foreign = endpoint("x", "10.0.0.1:80", 9_000).copy(service = "nobody's")
+        directory.read(listOf(endpoint("a", "10.0.0.1:80", 1_000), foreign))
+        assertEquals(listOf("a"), directory.serving("s").map { it.id })
+    }
+
     @Test
     fun `endpoints at one address that don't say when they started are all kept`() {
         directory.read(listOf(endpoint("a", "10.0.0.1:80", null), endpoint("a2", "10.0.0.1:80", 9_000)))
