Show processor time by duty and the size of the exchange in the metrics

Logs and metrics could not tell whether background duties or requests use a gateway's processor: no metric showed either. The cause of the incident was narrowed down only by reading /proc from outside, which an on-call engineer with the metrics page can't do.

Adds celerywalk_processor_seconds by duty, from the time of the threads of that name, celerywalk_peer_messages_total and celerywalk_peer_bytes_total by direction, and celerywalk_cache_polls_total. A scrape reads /proc; nothing runs between scrapes. The JVM's ThreadMXBean was ruled out, since it loads the management classes that docs/design.md keeps out of a gateway's start.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/CacheEventSubscriptions.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/CacheEventSubscriptions.kt
@@ -12,6 +12,7 @@
     private val state: FleetState,
     private val replicas: ReplicaCalls,
     private val log: EventLog,
+    private val metrics: GatewayMetrics,
 ) : AutoCloseable {
     private val subscriptions = ConcurrentHashMap<String, Subscription>()
     private val updateTask = PeriodicTask("cache-followers", UPDATE_DELAY, log, ::updateSubscriptions)
@@ -56,6 +57,7 @@
 
         private fun poll() {
             if (runsSinceFailure > 0 && runsSinceFailure++ % RUNS_PER_RETRY != 0) return
+            metrics.recordCachePoll()
             replicas.events(address, nextSequence, LONG_POLL_TIMEOUT).fold(
                 { error ->
                     if (runsSinceFailure == 0) {
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
@@ -17,6 +17,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
 
 /**
  * A gateway process: accepts requests of callers and forwards them to endpoints.
@@ -34,12 +35,12 @@
     private val state = FleetState(settings, timeSource, { membership.gatewayCount }, membership::quotaShare)
     private val lease = OrderLeaseManager(settings, table, timeSource, log)
     private val storeSync: StoreSync = StoreSync(state, table, log) { weightRollout.runSoon() }
-    private val peers = PeerExchange(state, membership, log) {
+    private val peers = PeerExchange(state, membership, log, metrics) {
         !isStopping && lease.isHeld && storeSync.hasReadWithin(LEASE_CLAIM_MAX_AGE)
     }
     private val weightRollout: WeightRolloutController =
         WeightRolloutController(state, lease, replicas, log, { !lease.isHeld && peers.peerHoldsLease }, peers::sendSoon)
-    private val cacheEvents = CacheEventSubscriptions(state, replicas, log)
+    private val cacheEvents = CacheEventSubscriptions(state, replicas, log, metrics)
     private val handler = RequestHandler(state, createForwardingContext(), log, metrics)
     private val server = GatewayServer(settings, handler, Pages(), callersSocket)
 
@@ -61,6 +62,10 @@
         metrics.registerGauge("celerywalk.confirmation.age.ms") {
             state.confirmation.age()?.inWholeMilliseconds ?: -1
         }
+        val threadTimes = ThreadProcessorTimes()
+        metrics.registerGauges("celerywalk.processor.seconds", "threads") {
+            threadTimes.timeByGroup().mapValues { (_, time) -> time.toDouble(DurationUnit.SECONDS) }
+        }
         storeSync.start()
         membership.start()
         server.start()
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayMetrics.kt
@@ -2,6 +2,8 @@
 
 import io.micrometer.core.instrument.FunctionCounter
 import io.micrometer.core.instrument.Gauge
+import io.micrometer.core.instrument.MultiGauge
+import io.micrometer.core.instrument.Tags
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import java.util.concurrent.ConcurrentHashMap
@@ -20,6 +22,8 @@
 
     private val counters = ConcurrentHashMap<Series, LongAdder>()
     private val gauges = ConcurrentHashMap<String, () -> Number>()
+    private val labelledGauges = ConcurrentHashMap<Series, () -> Map<String, Number>>()
+    private val multiGauges = HashMap<Series, MultiGauge>()
     private val registeredMeters = ConcurrentHashMap.newKeySet<Any>()
     private val registry by lazy { PrometheusMeterRegistry(PrometheusConfig.DEFAULT) }
 
@@ -37,17 +41,36 @@
     /** Records a call to the platform's store. */
     public fun recordStoreCall(step: String): Unit = incrementCounter("celerywalk.store.calls", "step", step)
 
+    /** Records a message of [bytes] bytes between gateways; [direction] is `sent` or `received`. */
+    public fun recordPeerMessage(direction: String, bytes: Int) {
+        incrementCounter("celerywalk.peer.messages", "direction", direction)
+        incrementCounter("celerywalk.peer.bytes", "direction", direction, by = bytes.toLong())
+    }
+
+    /** Records a poll of the cache events of one holder. */
+    public fun recordCachePoll(): Unit = incrementCounter("celerywalk.cache.polls")
+
     /** Registers gauge [name]; [value] is called at each scrape. */
     public fun registerGauge(name: String, value: () -> Number) {
         gauges[name] = value
     }
 
+    /** Registers one gauge [name] for each value of [label]; [values] is called at each scrape. */
+    public fun registerGauges(name: String, label: String, values: () -> Map<String, Number>) {
+        labelledGauges[Series(name, listOf(label))] = values
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     @Synchronized
     public fun scrape(): String {
         gauges.forEach { (name, value) ->
             if (registeredMeters.add(name)) Gauge.builder(name) { value().toDouble() }.register(registry)
         }
+        labelledGauges.forEach { (series, values) ->
+            val label = series.tags.single()
+            val rows = values().map { (value, number) -> MultiGauge.Row.of(Tags.of(label, value), number) }
+            multiGauges.getOrPut(series) { MultiGauge.builder(series.name).register(registry) }.register(rows, true)
+        }
         counters.forEach { (series, adder) ->
             if (registeredMeters.add(series)) {
                 val counter = FunctionCounter.builder(series.name, adder) { it.sum().toDouble() }
@@ -58,8 +81,8 @@
         return registry.scrape()
     }
 
-    private fun incrementCounter(name: String, vararg tags: String) {
-        counters.computeIfAbsent(Series(name, tags.asList())) { LongAdder() }.increment()
+    private fun incrementCounter(name: String, vararg tags: String, by: Long = 1) {
+        counters.computeIfAbsent(Series(name, tags.asList())) { LongAdder() }.add(by)
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/PeerExchange.kt
@@ -30,6 +30,7 @@
     private val state: FleetState,
     private val membership: Membership,
     private val log: EventLog,
+    private val metrics: GatewayMetrics,
     private val holdsLease: () -> Boolean,
 ) : AutoCloseable {
     private class Placement(val holder: String, val scope: String, val partIds: String)
@@ -78,6 +79,7 @@
         peers.forEach { peer ->
             try {
                 socket.send(DatagramPacket(message, message.size, InetAddress.getByName(peer.host), peer.port))
+                metrics.recordPeerMessage("sent", message.size)
             } catch (e: IOException) {
                 log.write("peer_send_failed", "peer" to peer, "cause" to e.message)
             }
@@ -135,6 +137,7 @@
             val packet = DatagramPacket(buffer, buffer.size)
             try {
                 socket.receive(packet)
+                metrics.recordPeerMessage("received", packet.length)
                 val root = JsonTree.parse(buffer, packet.length)
                 if (root.path(NAME).isTextual) applyState(root, SocketAddress(packet.address.hostAddress, packet.port))
             } catch (e: JsonProcessingException) {
