Send only changes between gateways, at a rate that the fleet's size bounds

Callers of large deployments got late answers and time-outs (SHORT), since the exchange between gateways took the processor time of requests.

Cause: the cost of the exchange grew with the square of the fleet. Each gateway sent its whole state (versions of all endpoints, totals of all accounts, last numbers of all peers) to every other one ten times a second. For each message the receiver went through all endpoints, and for each account through all members to compute the quota share, with two clock reads each. docs/CAPACITY.md said that this does not carry; it had been left for later.

Ruled out: the reads of the operators' table (1 %) and the log (1.5 %).

Change: messages hold what has changed since the last one, and the whole state every 0.7 s in case one is lost. The interval is 5 ms for each gateway, 100 ms at least, so a gateway receives at most 200 messages a second; the limits of silence follow it. The work of peers is summed up when it is reported, not when it is read, and the quota share is computed once an interval. Applying a message costs what it reports. Messages of the former version are complete ones and still understood.

Tests, each seen to fail with its guard broken (interval fixed: '22 instances: 210.0 messages a second'; last numbers in each message; a clock read for each endpoint): ExchangeTimingTest, PeerStateTest, PeerStateReceiverTest, FleetLoadsTest. Not done: at 360 gateways 200 messages a second are still more bytes than docs/CAPACITY.md allows.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
@@ -32,7 +32,7 @@
     private val table = PlatformTable(calls, settings.store.toString())
     private val replicas = ReplicaCalls(calls)
     private val membership = Membership(settings, table, timeSource, log)
-    private val state = FleetState(settings, timeSource, { membership.gatewayCount }, membership::quotaShare)
+    private val state = FleetState(settings, timeSource, { membership.gatewayCount }, { membership.quotaShare })
     private val lease = OrderLeaseManager(settings, table, timeSource, log)
     private val storeSync: StoreSync = StoreSync(state, table, log) { weightRollout.runSoon() }
     private val peers = PeerExchange(state, membership, log, metrics) {
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/Membership.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/Membership.kt
@@ -3,6 +3,7 @@
 import org.celerywalk.platform.wire.PlatformTable
 import org.celerywalk.platform.wire.RowWrite
 import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeMark
@@ -15,7 +16,7 @@
     private val timeSource: TimeSource,
     private val log: EventLog,
 ) : AutoCloseable {
-    private class Member(val address: SocketAddress, var lastHeardAt: TimeMark?)
+    private class Member(val address: SocketAddress, @Volatile var lastHeardAt: TimeMark?)
 
     private val ownAddress = "${settings.callers.host}:${settings.peerPort}"
     private val members = ConcurrentHashMap<String, Member>()
@@ -52,13 +53,22 @@
 
     /**
      * Share of each quota, from 0 to 1, that this gateway and the gateways that it hears from may use together. The
-     * remainder is left to gateways whose last message is 1 to 30 s old, since they may still be serving.
+     * remainder is left to gateways that became silent in the last 30 s, since they may still be serving.
      */
-    fun quotaShare(): Double {
+    @Volatile
+    var quotaShare: Double = 1.0
+        private set
+
+    /**
+     * Updates [quotaShare]; a gateway without a message for [silenceThreshold] counts as silent.
+     *
+     * The share is read several times for each request and message, so it is not computed there.
+     */
+    fun updateQuotaShare(silenceThreshold: Duration) {
         val ages = members.values.mapNotNull { it.lastHeardAt?.elapsedNow() }
-        val reachableCount = ages.count { it <= SILENCE_THRESHOLD } + 1
-        val silentCount = ages.count { it > SILENCE_THRESHOLD && it <= DEPARTURE_THRESHOLD }
-        return reachableCount.toDouble() / (reachableCount + silentCount)
+        val reachableCount = ages.count { it <= silenceThreshold } + 1
+        val silentCount = ages.count { it > silenceThreshold && it <= DEPARTURE_THRESHOLD }
+        quotaShare = reachableCount.toDouble() / (reachableCount + silentCount)
     }
 
     private fun readMembers() {
@@ -105,9 +115,6 @@
         const val RUNS_PER_READ = 5
         val CALL_TIMEOUT = 900.milliseconds
 
-        // Several send intervals of PeerExchange.
-        val SILENCE_THRESHOLD = 1.seconds
-
         // A gateway that cannot reach the store stops serving requests with API keys long before this time.
         val DEPARTURE_THRESHOLD = 30.seconds
     }
--- /dev/null
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/PeerStateTest.kt
@@ -0,0 +1,74 @@
+package org.celerywalk.gateway
+
+import org.celerywalk.routing.EndpointWork
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Guards against messages whose size grows with the fleet, and against changes that messages leave out. */
+class PeerStateTest {
+    private val state = PeerState(
+        sender = "edge-1",
+        number = 7,
+        lastNumbers = mapOf("edge-2" to 12L),
+        configuration = 3,
+        confirmationAge = 250.milliseconds,
+        quotas = mapOf("acme" to 9_000L),
+        work = mapOf(
+            "i-1" to EndpointWork(1, 2, 3),
+            "i-2" to EndpointWork(4, 5, 6, deferredPrefillTokens = 7, deferredCalls = 1, deferredCacheTokens = 2),
+        ),
+        versions = mapOf("i-1" to mapOf("m" to 2)),
+        changingEndpoints = setOf("i-3"),
+        ejectedEndpoints = setOf("i-4"),
+        weightAges = mapOf("m" to mapOf(2 to 1_500.milliseconds)),
+        placements = listOf(PeerPlacement("i-1", "m/v2", listOf("a", "b"))),
+        holdsLease = true,
+    )
+
+    @Test
+    fun `a message arrives as it was sent and its confirmation never looks younger`() {
+        val decoded = decode(PeerStateCodec.encode(state))
+        assertEquals(state.copy(confirmationAge = 251.milliseconds), decoded)
+        assertEquals(PeerState("edge-1", 1), decode(PeerStateCodec.encode(PeerState("edge-1", 1))))
+        assertEquals(state.changesSince(state), decode(PeerStateCodec.encode(state.changesSince(state))))
+    }
+
+    @Test
+    fun `a message without a sender is ignored and placements of another form are left out`() {
+        assertEquals(null, decode("""{"number":1}""".toByteArray()))
+        val message = """{"name":"edge-1","number":1,"placed":[["i-1","m"],"x",["i-1","m","a,b"]]}"""
+        assertEquals(1, decode(message.toByteArray())?.placements?.size)
+    }
+
+    @Test
+    fun `a partial message reports what has changed and work that has ended`() {
+        val next = state.copy(
+            number = 8,
+            quotas = mapOf("acme" to 9_000L, "other" to 5L),
+            work = mapOf("i-1" to EndpointWork(2, 2, 3)),
+        )
+        val changes = next.changesSince(state)
+        assertEquals(mapOf("other" to 5L), changes.quotas)
+        assertEquals(mapOf("i-1" to EndpointWork(2, 2, 3), "i-2" to EndpointWork()), changes.work)
+        assertTrue(changes.versions.isEmpty() && changes.lastNumbers.isEmpty() && !changes.isComplete)
+    }
+
+    @Test
+    fun `the size of a message without changes does not depend on the size of the fleet`() {
+        val sizes = listOf(30, 1_400).map { count ->
+            val large = state.copy(
+                lastNumbers = List(count) { "edge-$it" to 1L }.toMap(),
+                quotas = List(count) { "account-$it" to 1L }.toMap(),
+                work = List(count) { "i-$it" to EndpointWork(calls = 1) }.toMap(),
+                versions = List(count) { "i-$it" to mapOf("m" to 1) }.toMap(),
+                placements = emptyList(),
+            )
+            PeerStateCodec.encode(large.copy(number = 8).changesSince(large)).size
+        }
+        assertEquals(sizes.first(), sizes.last())
+    }
+
+    private fun decode(bytes: ByteArray) = PeerStateCodec.decode(bytes, bytes.size)
+}
--- a/library/src/main/kotlin/org/celerywalk/routing/EndpointLoad.kt
+++ b/library/src/main/kotlin/org/celerywalk/routing/EndpointLoad.kt
@@ -54,16 +54,14 @@
 /**
  * Tracks the work at one endpoint: the exact work of this process and the last reported work of its peers.
  * This class is thread-safe.
- *
- * @param reportTimeToLive time after which the report of a peer expires.
  */
 public class EndpointLoad(
     private val timeSource: TimeSource.WithComparableMarks,
-    private val reportTimeToLive: Duration,
     public val health: EndpointHealth,
 ) {
     private var localWork = EndpointWork()
-    private val peerReports = HashMap<String, Pair<EndpointWork, ComparableTimeMark>>()
+    private val workByPeer = HashMap<String, EndpointWork>()
+    private var totalPeerWork = EndpointWork()
     private val serviceTime = DurationMovingAverage(INITIAL_SERVICE_TIME)
     private var weightsVersions = emptyMap<String, Int>()
     private var weightChangeDeadline: ComparableTimeMark? = null
@@ -82,10 +80,7 @@
 
     /** Returns the work of this process and of its peers. */
     @Synchronized
-    public fun work(): EndpointWork {
-        peerReports.values.removeIf { (_, reportedAt) -> reportedAt.elapsedNow() > reportTimeToLive }
-        return peerReports.values.fold(localWork) { sum, (work, _) -> sum + work }
-    }
+    public fun work(): EndpointWork = localWork + totalPeerWork
 
     /** Adds the work of a call of this process. */
     @Synchronized
@@ -105,16 +100,21 @@
         serviceTime.add(time)
     }
 
-    /** Records the work that the process [peer] reports for this endpoint. */
+    /** Records the work that the process [peer] has at this endpoint; replaces its last report. */
     @Synchronized
-    public fun recordPeerWork(peer: String, work: EndpointWork) {
-        peerReports[peer] = work to timeSource.markNow()
+    internal fun recordPeerWork(peer: String, work: EndpointWork) {
+        val previousWork = if (work.calls == 0) workByPeer.remove(peer) else workByPeer.put(peer, work)
+        totalPeerWork += (if (work.calls == 0) EndpointWork() else work) - (previousWork ?: EndpointWork())
     }
 
     /** Returns the weights version of [model], or null if unknown. It never decreases until the endpoint restarts. */
     @Synchronized
     public fun version(model: String): Int? = weightsVersions[model]
 
+    /** Returns the known weights versions of [models]. */
+    @Synchronized
+    public fun versions(models: Collection<String>): Map<String, Int> = weightsVersions.filterKeys { it in models }
+
     /** Records that the endpoint runs weights [version] of [model]; an older version is ignored. */
     @Synchronized
     public fun recordWeightsVersion(model: String, version: Int) {
--- a/library/src/main/kotlin/org/celerywalk/routing/FleetLoads.kt
+++ b/library/src/main/kotlin/org/celerywalk/routing/FleetLoads.kt
@@ -2,17 +2,44 @@
 
 import org.celerywalk.endpoint.EndpointHealth
 import java.util.concurrent.ConcurrentHashMap
-import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
 /** Keeps the load of each endpoint by endpoint id. This class is thread-safe. */
 public class FleetLoads(private val timeSource: TimeSource.WithComparableMarks) {
     private val loads = ConcurrentHashMap<String, EndpointLoad>()
+    private val lastReportAtByPeer = HashMap<String, ComparableTimeMark>()
 
     /** Returns the load of the endpoint [id], which is created if it does not exist. */
     public fun getOrCreate(id: String): EndpointLoad = loads.computeIfAbsent(id) {
-        EndpointLoad(timeSource, REPORT_TIME_TO_LIVE, EndpointHealth(timeSource, EJECTION_TIME))
+        EndpointLoad(timeSource, EndpointHealth(timeSource, EJECTION_TIME))
+    }
+
+    /**
+     * Records the [work] that the process [peer] has at endpoints, by endpoint id.
+     *
+     * @param isComplete true if the peer has no work at other endpoints; false if its work there has not changed.
+     */
+    @Synchronized
+    public fun recordPeerReport(peer: String, work: Map<String, EndpointWork>, isComplete: Boolean) {
+        lastReportAtByPeer[peer] = timeSource.markNow()
+        if (isComplete) {
+            loads.forEach { (id, load) -> load.recordPeerWork(peer, work[id] ?: EndpointWork()) }
+        } else {
+            work.forEach { (id, endpointWork) -> loads[id]?.recordPeerWork(peer, endpointWork) }
+        }
+    }
+
+    /** Forgets the work of peers whose last report is older than [maxAge]. */
+    @Synchronized
+    public fun expirePeerReports(maxAge: Duration) {
+        val silentPeers = lastReportAtByPeer.filterValues { it.elapsedNow() > maxAge }.keys
+        silentPeers.forEach { peer ->
+            lastReportAtByPeer.remove(peer)
+            loads.values.forEach { it.recordPeerWork(peer, EndpointWork()) }
+        }
     }
 
     /** Removes the load of the endpoint [id]. */
@@ -24,8 +51,6 @@
     public fun asMap(): Map<String, EndpointLoad> = loads
 
     private companion object {
-        // Several intervals of the exchange between peers.
-        val REPORT_TIME_TO_LIVE = 800.milliseconds
         val EJECTION_TIME = 1.seconds
     }
 }
