Look up the cached prefixes of all replicas once for each placement

Cause: for each candidate the chooser looked through all replicas for a source to fetch from and for the longest cached prefix, part by part, each with locks and clock reads.

Change: PartLocations returns the prefixes of all holders from one clock reading; the chooser looks them up once for each version of the weights, and sources once for all candidates. Decisions are the same: ModelReplicaChooserTest is unchanged.

--- a/library/src/main/kotlin/org/celerywalk/routing/ModelReplicaChooser.kt
+++ b/library/src/main/kotlin/org/celerywalk/routing/ModelReplicaChooser.kt
@@ -44,16 +44,22 @@
         weights: WeightHistory,
         maxSupersededTime: Duration,
     ): Placement? {
+        val versions = replicas.associate { it.id to version(it, generation.model) }
+        val supersededTimes = versions.values.distinct().associateWith(weights::timeSinceSuperseded)
         val usableReplicas = replicas.filter { replica ->
-            val supersededTime = weights.timeSinceSuperseded(version(replica, generation.model))
+            val supersededTime = supersededTimes[versions.getValue(replica.id)]
             supersededTime == null || supersededTime < maxSupersededTime
         }
         val healthyReplicas =
             usableReplicas.filterNot { loads.getOrCreate(it.id).health.isEjected }.ifEmpty { usableReplicas }
         val candidates =
             healthyReplicas.filterNot { loads.getOrCreate(it.id).isChangingWeights }.ifEmpty { healthyReplicas }
-        val scorer = PlacementScorer(generation, replicas, context, weights, homeReplicaId(generation, candidates))
-        val bestPlacement = candidates.map(scorer::scorePlacement).minByOrNull { it.score }
+        val homeId = homeReplicaId(generation, candidates)
+        val bestPlacement = candidates.groupBy { versions.getValue(it.id) }.flatMap { (version, sameVersionReplicas) ->
+            val cache = FleetCache(generation, version, replicas, context)
+            val scorer = PlacementScorer(generation, context, cache, supersededTimes[version], homeId)
+            sameVersionReplicas.map(scorer::scorePlacement)
+        }.minByOrNull { it.score }
         return bestPlacement?.let { deferIfLate(it, generation) }?.also { reserveLink(it, context) }
     }
 
@@ -93,37 +99,113 @@
 
     private class ScoredPlacement(val placement: Placement, val score: Double, val expectedMillisIfDeferred: Double)
 
-    private class FetchSource(val address: String, val tokens: Int, val millis: Double)
+    /** Source that a replica can fetch a prefix from; [linkWaitMillis] is the time until its link is free. */
+    private class FetchSource(
+        val holder: String,
+        val address: String,
+        val dataCentre: String,
+        val tokens: Int,
+        val linkWaitMillis: Double,
+    )
 
-    /** Scores the replicas for one generation; the lowest score is best. */
+    private class Fetch(val address: String, val tokens: Int, val millis: Double)
+
+    /**
+     * What [replicas] and the cache store hold of the prompt of [generation] at one [version] of the weights.
+     *
+     * Looked up once for all candidates of a placement, since each lookup goes through all replicas.
+     */
+    private inner class FleetCache(
+        generation: Generation,
+        val version: Int,
+        replicas: List<RegisteredEndpoint>,
+        private val context: EngineContext,
+    ) {
+        val scope = CacheScope.of(generation.model, version, generation.isolatedAccount)
+        private val sharedTokens = generation.sharedParts.sumOf { it.tokens }
+        private val now = timeSource.markNow()
+        private val prefixes = locations.cachedPrefixes(
+            replicas.map { it.id } + listOfNotNull(context.store?.address),
+            scope,
+            generation.parts,
+            PREFILL_DELAY,
+        )
+
+        /** Largest number of shared tokens that any replica holds. */
+        val heldTokens = replicas.maxOf { prefixes.getValue(it.id).sharedTokens }
+        private val sources = (replicas.map { source(it.id, it.address, it.dataCentre) } + listOfNotNull(storeSource()))
+            .filter { it.tokens >= MIN_FETCH_TOKENS }
+
+        fun cachedTokens(replica: RegisteredEndpoint): Int = prefixes.getValue(replica.id).tokens
+
+        /** Returns the fetch that saves [target] most, or null if none does. */
+        fun bestFetch(target: RegisteredEndpoint): Fetch? {
+            val cachedTokens = cachedTokens(target)
+            return sources.filter { it.holder != target.id && it.tokens - cachedTokens >= MIN_FETCH_TOKENS }
+                .map { fetch(it, target, cachedTokens) }
+                .maxByOrNull { it.tokens - it.millis * prefillTokensPerMilli }
+        }
+
+        private fun fetch(source: FetchSource, target: RegisteredEndpoint, cachedTokens: Int): Fetch {
+            val isRemote = source.dataCentre != target.dataCentre
+            val transferMillis = context.transferMillis(source.tokens - cachedTokens, isRemote)
+            return Fetch(source.address, source.tokens, transferMillis + source.linkWaitMillis)
+        }
+
+        private fun storeSource(): FetchSource? = context.store?.let { store ->
+            val source = source(store.address, store.address, store.dataCentre)
+            if (mayHoldSharedParts(store.address)) {
+                FetchSource(store.address, store.address, store.dataCentre, sharedTokens, source.linkWaitMillis)
+            } else {
+                source
+            }
+        }
+
+        private fun source(holder: String, address: String, dataCentre: String): FetchSource {
+            val linkWaitTime = linkFreeAt[address]?.let { it - now }?.coerceAtLeast(Duration.ZERO) ?: Duration.ZERO
+            val fetchableTokens = prefixes.getValue(holder).fetchableTokens
+            return FetchSource(
+                holder,
+                address,
+                dataCentre,
+                fetchableTokens,
+                linkWaitTime.toDouble(DurationUnit.MILLISECONDS),
+            )
+        }
+
+        // Shared parts are saved to the cache store, and a process that has just started does not know which of them
+        // the store still holds. A fetch that finds nothing costs far less than a repeated prefill.
+        private fun mayHoldSharedParts(storeAddress: String) =
+            now - createdAt < STORE_CONTENT_UNKNOWN_TIME && !locations.hasReadEvents(storeAddress)
+    }
+
+    /** Scores the replicas with one version of the weights for one generation; the lowest score is best. */
     private inner class PlacementScorer(
         private val generation: Generation,
-        private val replicas: List<RegisteredEndpoint>,
         private val context: EngineContext,
-        private val weights: WeightHistory,
+        private val cache: FleetCache,
+        private val supersededTime: Duration?,
         private val homeId: String?,
     ) {
         private val sharedTokens = generation.sharedParts.sumOf { it.tokens }
 
         fun scorePlacement(replica: RegisteredEndpoint): ScoredPlacement {
-            val version = version(replica, generation.model)
-            val scope = CacheScope.of(generation.model, version, generation.isolatedAccount)
-            val cachedPrefixTokens = locations.prefixTokens(replica.id, scope, generation.parts)
-            val source = bestSource(replica, scope, cachedPrefixTokens)
-            val fetchedTokens = if (source == null) 0 else source.tokens - cachedPrefixTokens
+            val cachedPrefixTokens = cache.cachedTokens(replica)
+            val fetch = cache.bestFetch(replica)
+            val fetchedTokens = if (fetch == null) 0 else fetch.tokens - cachedPrefixTokens
             val prefillTokens = max(0, generation.promptTokens - cachedPrefixTokens - fetchedTokens)
             val replicaWork = loads.getOrCreate(replica.id).work()
-            val ownMillis = prefillTokens / prefillTokensPerMilli + (source?.millis ?: 0.0) +
+            val ownMillis = prefillTokens / prefillTokensPerMilli + (fetch?.millis ?: 0.0) +
                 replicaWork.calls * DECODE_MILLIS_PER_CALL
             val expectedFirstTokenMillis = ownMillis + waitMillis(replicaWork.withoutDeferred())
             val work =
                 EndpointWork(1, prefillTokens.toLong(), (generation.promptTokens + generation.outputTokens).toLong())
             val placement = Placement(
                 replica,
-                scope,
-                version,
+                cache.scope,
+                cache.version,
                 cachedPrefixTokens,
-                source?.address,
+                fetch?.address,
                 fetchedTokens,
                 expectedFirstTokenMillis,
                 work,
@@ -147,15 +229,13 @@
 
         private fun penaltyMillis(placement: Placement): Double {
             val replica = placement.endpoint
-            val supersededTime = weights.timeSinceSuperseded(placement.version)
             val supersededPenaltyMillis =
                 if (supersededTime != null && supersededTime > SUPERSEDED_GRACE) SUPERSEDED_PENALTY_MILLIS else 0.0
             val remotePenaltyMillis = if (replica.dataCentre == dataCentre) 0.0 else REMOTE_PENALTY_MILLIS
-            val heldTokens = replicas.maxOf { locations.prefixTokens(it.id, placement.scope, generation.sharedParts) }
-            val recomputePenaltyMillis =
-                max(0, heldTokens - placement.cachedTokens - placement.fetchTokens) * RECOMPUTE_PENALTY_MILLIS_PER_TOKEN
+            val recomputedTokens = max(0, cache.heldTokens - placement.cachedTokens - placement.fetchTokens)
+            val recomputePenaltyMillis = recomputedTokens * RECOMPUTE_PENALTY_MILLIS_PER_TOKEN
             val nonHomePenaltyMillis =
-                if (homeId != null && replica.id != homeId && heldTokens < sharedTokens) NON_HOME_MILLIS else 0.0
+                if (homeId != null && replica.id != homeId && cache.heldTokens < sharedTokens) NON_HOME_MILLIS else 0.0
             // A fetched copy evicts other parts from the replica's KV cache.
             val copyMillis = context.transferMillis(placement.fetchTokens, isRemote = false)
             return supersededPenaltyMillis + remotePenaltyMillis + recomputePenaltyMillis + nonHomePenaltyMillis +
@@ -168,46 +248,6 @@
             return LATE_PENALTY_MILLIS *
                 ((budgetShare - ON_TIME_BUDGET_SHARE) / (LATE_BUDGET_SHARE - ON_TIME_BUDGET_SHARE)).coerceIn(0.0, 1.0)
         }
-
-        private fun bestSource(target: RegisteredEndpoint, scope: CacheScope, cachedPrefixTokens: Int): FetchSource? {
-            val replicaSources = replicas.filter { it.id != target.id }.map { other ->
-                source(other.id, other.address, other.dataCentre != target.dataCentre, scope, cachedPrefixTokens)
-            }
-            val storeSource = context.store?.let {
-                val isRemote = it.dataCentre != target.dataCentre
-                if (mayHoldSharedParts(it.address)) {
-                    source(it.address, isRemote, sharedTokens, cachedPrefixTokens)
-                } else {
-                    source(it.address, it.address, isRemote, scope, cachedPrefixTokens)
-                }
-            }
-            return (replicaSources + listOfNotNull(storeSource))
-                .filter { it.tokens - cachedPrefixTokens >= MIN_FETCH_TOKENS }
-                .maxByOrNull { it.tokens - it.millis * prefillTokensPerMilli }
-        }
-
-        // Shared parts are saved to the cache store, and a process that has just started does not know which of them
-        // the store still holds. A fetch that finds nothing costs far less than a repeated prefill.
-        private fun mayHoldSharedParts(storeAddress: String) =
-            createdAt.elapsedNow() < STORE_CONTENT_UNKNOWN_TIME && !locations.hasReadEvents(storeAddress)
-
-        private fun source(
-            holder: String,
-            address: String,
-            isRemote: Boolean,
-            scope: CacheScope,
-            cachedPrefixTokens: Int,
-        ): FetchSource {
-            val tokens = locations.prefixTokens(holder, scope, generation.parts, PREFILL_DELAY)
-            return source(address, isRemote, tokens, cachedPrefixTokens)
-        }
-
-        private fun source(address: String, isRemote: Boolean, tokens: Int, cachedPrefixTokens: Int): FetchSource {
-            val linkWaitTime =
-                linkFreeAt[address]?.let { -it.elapsedNow() }?.coerceAtLeast(Duration.ZERO) ?: Duration.ZERO
-            val millis = context.transferMillis(max(0, tokens - cachedPrefixTokens), isRemote)
-            return FetchSource(address, tokens, millis + linkWaitTime.toDouble(DurationUnit.MILLISECONDS))
-        }
     }
 
     private companion object {
