Let one gateway read the cache events of each replica for all

Cause: every gateway polled every replica and the cache store, so the calls of a fleet grew with the product of gateways and replicas: 29 x 37 long polls that return up to five times a second each.

Ruled out: longer pauses between polls. Each poll would then find events and return at once, which the platform prices as a probe.

Change: rendezvous hashing makes one gateway the reader of each holder. It reports the events to the others in the exchange, with their sequence numbers. A gateway that misses events (a lost message, a restarted holder, a reader that is silent for 3 s) reads them from the holder itself. Complete messages hold the reader's positions, so the loss of a last report is noticed as well.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
@@ -35,12 +35,13 @@
     private val state = FleetState(settings, timeSource, { membership.gatewayCount }, { membership.quotaShare })
     private val lease = OrderLeaseManager(settings, table, timeSource, log)
     private val storeSync: StoreSync = StoreSync(state, table, log) { weightRollout.runSoon() }
-    private val peers = PeerExchange(state, membership, log, metrics) {
+    private val cacheEvents =
+        CacheEventSubscriptions(state, replicas, log, metrics) { membership.reachablePeers }
+    private val peers = PeerExchange(state, membership, log, metrics, cacheEvents) {
         !isStopping && lease.isHeld && storeSync.hasReadWithin(LEASE_CLAIM_MAX_AGE)
     }
     private val weightRollout: WeightRolloutController =
         WeightRolloutController(state, lease, replicas, log, { !lease.isHeld && peers.peerHoldsLease }, peers::sendSoon)
-    private val cacheEvents = CacheEventSubscriptions(state, replicas, log, metrics)
     private val handler = RequestHandler(state, createForwardingContext(), log, metrics)
     private val server = GatewayServer(settings, handler, Pages(), callersSocket)
 
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/Membership.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/Membership.kt
@@ -59,15 +59,21 @@
     var quotaShare: Double = 1.0
         private set
 
+    /** Names of the other gateways that this gateway hears from. */
+    @Volatile
+    var reachablePeers: Set<String> = emptySet()
+        private set
+
     /**
-     * Updates [quotaShare]; a gateway without a message for [silenceThreshold] counts as silent.
+     * Updates [quotaShare] and [reachablePeers]; a gateway without a message for [silenceThreshold] counts as silent.
      *
      * The share is read several times for each request and message, so it is not computed there.
      */
-    fun updateQuotaShare(silenceThreshold: Duration) {
-        val ages = members.values.mapNotNull { it.lastHeardAt?.elapsedNow() }
-        val reachableCount = ages.count { it <= silenceThreshold } + 1
-        val silentCount = ages.count { it > silenceThreshold && it <= DEPARTURE_THRESHOLD }
+    fun updateReachability(silenceThreshold: Duration) {
+        val ages = members.mapNotNull { (name, member) -> member.lastHeardAt?.let { name to it.elapsedNow() } }
+        reachablePeers = ages.filter { (_, age) -> age <= silenceThreshold }.map { (name, _) -> name }.toSet()
+        val silentCount = ages.count { (_, age) -> age > silenceThreshold && age <= DEPARTURE_THRESHOLD }
+        val reachableCount = reachablePeers.size + 1
         quotaShare = reachableCount.toDouble() / (reachableCount + silentCount)
     }
 
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/PeerExchange.kt
@@ -27,10 +27,11 @@
     private val membership: Membership,
     private val log: EventLog,
     private val metrics: GatewayMetrics,
+    private val cacheEvents: CacheEventSubscriptions,
     private val holdsLease: () -> Boolean,
 ) : AutoCloseable {
     private val timing = ExchangeTiming { membership.gatewayCount }
-    private val receiver = PeerStateReceiver(state, membership, timing, log) { number ->
+    private val receiver = PeerStateReceiver(state, membership, timing, log, cacheEvents::applyReport) { number ->
         synchronized(sendTimes) { sendTimes[number] }
     }
     private val placements = MpscArrayQueue<PeerPlacement>(PLACEMENT_QUEUE_CAPACITY)
@@ -76,7 +77,7 @@
     }
 
     private fun sendState() {
-        membership.updateQuotaShare(timing.silenceThreshold)
+        membership.updateReachability(timing.silenceThreshold)
         state.loads.expirePeerReports(timing.silenceThreshold)
         val peers = membership.peerAddresses
         if (peers.isEmpty()) return
@@ -98,8 +99,11 @@
         val completeSentAt = completeStateSentAt
         val isComplete = previousState == null || completeSentAt == null ||
             completeSentAt.elapsedNow() >= timing.completeStateInterval
+        // Positions are taken before the reports, so that no position is ahead of the events that were reported.
+        val positions = if (isComplete) cacheEvents.positions() else emptyMap()
         if (isComplete) completeStateSentAt = state.timeSource.markNow()
-        return if (isComplete) currentState else currentState.changesSince(checkNotNull(previousState))
+        val message = if (isComplete) currentState else currentState.changesSince(checkNotNull(previousState))
+        return message.copy(cacheEvents = positions + cacheEvents.takeReports())
     }
 
     private fun completeState(): PeerState {
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/PeerState.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/PeerState.kt
@@ -1,5 +1,6 @@
 package org.celerywalk.gateway
 
+import org.celerywalk.cache.CacheEvents
 import org.celerywalk.routing.EndpointWork
 import kotlin.time.Duration
 
@@ -23,6 +24,7 @@
  * @property ejectedEndpoints endpoints that the sender has ejected.
  * @property weightAges time since the publication of each version by model.
  * @property placements prompts that the sender has placed since its last message; not repeated.
+ * @property cacheEvents events of the caches that the sender reads, by holder; without events, its position in them.
  * @property holdsLease true if the sender holds the lease for weight orders.
  */
 internal data class PeerState(
@@ -39,6 +41,7 @@
     val ejectedEndpoints: Set<String> = emptySet(),
     val weightAges: Map<String, Map<Int, Duration>> = emptyMap(),
     val placements: List<PeerPlacement> = emptyList(),
+    val cacheEvents: Map<String, CacheEvents> = emptyMap(),
     val holdsLease: Boolean = false,
 ) {
     /**
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/PeerStateCodec.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/PeerStateCodec.kt
@@ -21,6 +21,7 @@
     private const val PLACED = "placed"
     private const val LEASE = "lease"
     private const val WEIGHT_AGES = "weight-ages"
+    private const val CACHES = "caches"
     private const val PLACEMENT_FIELDS = 3
 
     fun encode(state: PeerState): ByteArray {
@@ -41,6 +42,7 @@
             putObject(model).also { ages.forEach { (version, age) -> it.put("$version", age.inWholeMilliseconds) } }
         }
         root.putPlacements(state.placements)
+        root.putEach(CACHES, state.cacheEvents) { holder, events -> CacheEventsCodec.encode(events, putArray(holder)) }
         if (state.holdsLease) root.put(LEASE, true)
         return JsonTree.encode(root)
     }
@@ -67,6 +69,7 @@
             ejectedEndpoints = root.path(EJECTED).toNames(),
             weightAges = root.path(WEIGHT_AGES).toMap(::decodeAges),
             placements = root.path(PLACED).mapNotNull(::decodePlacement),
+            cacheEvents = root.path(CACHES).toMap(CacheEventsCodec::decode),
             holdsLease = root.path(LEASE).asBoolean(),
         )
     }
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/PeerStateReceiver.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/PeerStateReceiver.kt
@@ -1,5 +1,6 @@
 package org.celerywalk.gateway
 
+import org.celerywalk.cache.CacheEvents
 import org.celerywalk.cache.CacheScope
 import org.celerywalk.cache.PromptPart
 import org.celerywalk.instance.ExchangeTiming
@@ -13,6 +14,7 @@
  * The time that a message takes must not grow with the number of gateways, endpoints or accounts, but only with what
  * the message reports.
  *
+ * @param onCacheEvents applies reported events of the cache of a holder.
  * @param ownSendTime returns the time at which this process sent the message of a number, or null if unknown.
  */
 internal class PeerStateReceiver(
@@ -20,6 +22,7 @@
     private val membership: Membership,
     private val timing: ExchangeTiming,
     private val log: EventLog,
+    private val onCacheEvents: (String, CacheEvents) -> Unit,
     private val ownSendTime: (Long) -> ComparableTimeMark?,
 ) {
     private val weightChangeTracker = WeightChangeTracker(state, log)
@@ -54,6 +57,7 @@
             val parts = placement.partIds.map { PromptPart(it, 0) }
             state.locations.recordSent(placement.holder, CacheScope(placement.scope), parts)
         }
+        message.cacheEvents.forEach(onCacheEvents)
         if (message.holdsLease) peerLeaseReportedAt = state.timeSource.markNow()
         applyConfirmation(message)
     }
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/PeerStateReceiverTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/PeerStateReceiverTest.kt
@@ -30,14 +30,14 @@
             Membership(settings, PlatformTable(PlatformCalls(OkHttpClient()), "127.0.0.1:1"), clock, log)
         val state = FleetState(settings, clock, { membership.gatewayCount }, { membership.quotaShare })
         private val receiver =
-            PeerStateReceiver(state, membership, ExchangeTiming { membership.gatewayCount }, log) { null }
+            PeerStateReceiver(state, membership, ExchangeTiming { membership.gatewayCount }, log, { _, _ -> }) { null }
 
         init {
             state.directory.update(List(endpoints) { endpoint("i-$it") })
             List(endpoints) { state.loads.getOrCreate("i-$it") }
             List(accounts) { state.quotaOf("account-$it").configure(1_000.0, 1_000.0, 1.0) }
             List(gateways) { receive(PeerState("edge-$it", 1)) }
-            membership.updateQuotaShare(1.seconds)
+            membership.updateReachability(1.seconds)
         }
 
         fun receive(message: PeerState) = receiver.apply(message, SocketAddress("127.0.0.1", 1))
@@ -77,15 +77,5 @@
             startedAtMillis = null,
             models = emptyMap(),
         )
-
-        fun testSettings() = GatewaySettingsFile.parse(
-            """
-            { instance: g, data-centre: dc, first-start: true, prefill-tokens-per-ms: 45, peer-port: 4,
-              listen: { callers: "127.0.0.1:1", readiness: "127.0.0.1:2", metrics: "127.0.0.1:3" },
-              store: "127.0.0.1:1",
-              bounds: { key-withdrawal-ms: 2500, stop-grace-s: 8, retry-ratio: 0.2, retry-window-s: 10,
-                        retry-allowance: 600, order-lease-ms: 3000, weights-deadline-ms: 8000, quota-overage: 0.1 } }
-            """.trimIndent(),
-        ).fold({ error(it.joinToString()) }, { it })
     }
 }
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/PeerStateTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/PeerStateTest.kt
@@ -1,5 +1,7 @@
 package org.celerywalk.gateway
 
+import org.celerywalk.cache.CacheEvent
+import org.celerywalk.cache.CacheEvents
 import org.celerywalk.routing.EndpointWork
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -24,6 +26,10 @@
         ejectedEndpoints = setOf("i-4"),
         weightAges = mapOf("m" to mapOf(2 to 1_500.milliseconds)),
         placements = listOf(PeerPlacement("i-1", "m/v2", listOf("a", "b"))),
+        cacheEvents = mapOf(
+            "i-1" to CacheEvents(9, 40, 42, listOf(CacheEvent("m/v2", "a", 800), CacheEvent("m/v2", "b", 0))),
+            "i-2" to CacheEvents(3, 7, 7, emptyList()),
+        ),
         holdsLease = true,
     )
 
@@ -64,6 +70,7 @@
                 work = List(count) { "i-$it" to EndpointWork(calls = 1) }.toMap(),
                 versions = List(count) { "i-$it" to mapOf("m" to 1) }.toMap(),
                 placements = emptyList(),
+                cacheEvents = emptyMap(),
             )
             PeerStateCodec.encode(large.copy(number = 8).changesSince(large)).size
         }
--- a/library/src/main/kotlin/org/celerywalk/routing/Rendezvous.kt
+++ b/library/src/main/kotlin/org/celerywalk/routing/Rendezvous.kt
@@ -38,8 +38,10 @@
         return best.filterNotNull()
     }
 
-    private fun weight(piece: Long, replica: ReplicaSummary): Long =
-        mix(piece xor mix(replica.replica.hashCode().toLong()))
+    private fun weight(piece: Long, replica: ReplicaSummary): Long = weight(piece, replica.replica)
+
+    /** Returns the hash of [candidate] and [key]; candidates with the largest hashes are responsible for the key. */
+    fun weight(key: Long, candidate: String): Long = mix(key xor mix(candidate.hashCode().toLong()))
 
     private fun mix(value: Long): Long {
         var mixed = (value xor (value ushr SHIFT_1)) * MULTIPLIER_1
