Transfer the configuration only when it has changed, and while it proceeds

Gateways on slow links served requests by configurations that had been replaced more than 3 s before (CONFIG), and refused all keyed requests for many seconds, since they could not confirm the configuration.

Cause: each change was transferred twice, by the feed and by a read of the whole table, and the table was read again every 1.4 s to confirm it. A read was given up 900 ms after its start. With 1,450 routes (about 370 KB on the wire) over 10 Mbit/s a read takes 0.3 s alone and longer beside the feed and requests, and one that was given up had to start anew: the time limit was on the whole transfer, whatever its size.

Change: rows come from the feed, which is polled for 1 s; an answer without rows confirms the configuration. A transfer may take 6 s as long as bytes arrive; 900 ms of silence end it. Known rows are not decoded again. The known version does not advance without a row, so a change that a feed does not report is found by the read that follows when the history is gone. A confirmation by the feed counts one second less than a read, since a feed may be silent for that long before it is cut.

Tests: StoreSyncTest.

--- /dev/null
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/OperatorsSync.kt
@@ -0,0 +1,145 @@
+package org.celerywalk.gateway
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import org.celerywalk.fleet.FleetConfiguration
+import org.celerywalk.platform.wire.CallError
+import org.celerywalk.platform.wire.FleetDocument
+import org.celerywalk.platform.wire.PlatformTable
+import org.celerywalk.platform.wire.StoredRow
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Keeps the configuration and the announced weights in sync with the operators' table of the platform's store.
+ *
+ * The table is read as a whole once. From then on the store's feed sends each row that has changed and, by an answer
+ * without rows, confirms the others, so that a large configuration is transferred only when it has changed.
+ */
+internal class OperatorsSync(
+    private val state: FleetState,
+    private val table: PlatformTable,
+    private val reachability: StoreReachability,
+    private val log: EventLog,
+    private val onNewWeights: () -> Unit,
+) : AutoCloseable {
+    private val task = PeriodicTask("store-operators", { nextDelay }, log, ::followOperators)
+    private val maxFeedWait = minOf(MAX_FEED_WAIT, state.settings.bounds.keyWithdrawal / POLLS_PER_KEY_WITHDRAWAL)
+
+    // Version of the newest known row, or null if the rows have to be read as a whole. It does not advance without a
+    // row, so that no change is skipped that the feed has not reported.
+    private var knownVersion: Long? = null
+    private var nextDelay = FEED_DELAY
+    private val appliedVersions = HashMap<String, Long>()
+
+    @Volatile
+    private var lastReadAt: ComparableTimeMark? = null
+
+    /** True if this process itself read the table at most [age] ago. */
+    fun hasReadWithin(age: Duration): Boolean = lastReadAt?.let { it.elapsedNow() <= age } ?: false
+
+    fun start() {
+        task.start()
+    }
+
+    override fun close() {
+        task.close()
+    }
+
+    private fun followOperators() {
+        val version = knownVersion
+        val outcome = if (version == null) readAll() else awaitChange(version)
+        nextDelay = if (outcome.isLeft() || knownVersion == null) ERROR_DELAY else FEED_DELAY
+    }
+
+    private fun readAll(): Either<CallError, Unit> {
+        val sentAt = state.timeSource.markNow()
+        return table.read(OPERATORS_TABLE, TRANSFER_TIMEOUT, MAX_READ_SILENCE)
+            .onLeft(reachability::recordFailure)
+            .map { reading -> onRead(reading.rows, reading.storeVersion, confirmedAt = sentAt) }
+    }
+
+    private fun awaitChange(version: Long): Either<CallError, Unit> {
+        val sentAt = state.timeSource.markNow()
+        return table.awaitChange(OPERATORS_TABLE, version, maxFeedWait, TRANSFER_TIMEOUT).fold(
+            { error ->
+                knownVersion = version.takeIf { error.status != PlatformTable.HISTORY_GONE }
+                if (knownVersion == null) readAll() else error.left().also { reachability.recordFailure(error) }
+            },
+            { rows ->
+                val newestVersion = maxOf(version, rows.maxOfOrNull { it.version } ?: version)
+                if (rows.isNotEmpty()) {
+                    log.write("store_changed", "table" to OPERATORS_TABLE, "version" to newestVersion)
+                }
+                onRead(rows, newestVersion, confirmedAt = sentAt - MAX_FEED_LAG).right()
+            },
+        )
+    }
+
+    private fun onRead(rows: List<StoredRow>, version: Long, confirmedAt: ComparableTimeMark) {
+        reachability.recordAnswer()
+        lastReadAt = state.timeSource.markNow()
+        val areAllApplied = rows.filter { appliedVersions[it.key] != it.version }.map(::applyRow).all { it }
+        knownVersion = version.takeIf { areAllApplied }
+        if (areAllApplied) state.confirmation.confirm(confirmedAt)
+        // The gate opens only after the confirmation, without which requests with an API key are refused.
+        if (state.activeConfiguration != null) state.startupGate.markConfigurationLoaded()
+    }
+
+    // Returns false if the row was not applied.
+    private fun applyRow(row: StoredRow): Boolean = decodeAndApply(row).also { isApplied ->
+        if (isApplied) appliedVersions[row.key] = row.version
+    }
+
+    private fun decodeAndApply(row: StoredRow): Boolean = when {
+        row.key == CONFIGURATION_KEY ->
+            FleetDocument.decodeConfiguration(row.value)?.let(::adopt) ?: false.also { log.writeUnreadable(row) }
+        row.key.startsWith(WEIGHTS_PREFIX) -> FleetDocument.decodeTargetWeights(row.value)?.let { weights ->
+            if (state.recordWeights(weights)) {
+                log.write("weights_named", "model" to weights.model, "version" to weights.version)
+                onNewWeights()
+            }
+            true
+        } ?: false.also { log.writeUnreadable(row) }
+        else -> true
+    }
+
+    // Returns false if another version is active.
+    private fun adopt(configuration: FleetConfiguration): Boolean {
+        if (state.adopt(configuration)) {
+            log.write(
+                "configuration_adopted",
+                "version" to configuration.version,
+                "routes" to configuration.routes.size,
+                "accounts" to configuration.accounts?.size,
+            )
+        }
+        return state.activeConfiguration?.configuration?.version == configuration.version
+    }
+
+    private companion object {
+        const val OPERATORS_TABLE = "op"
+        const val CONFIGURATION_KEY = "config"
+        const val WEIGHTS_PREFIX = "version/"
+        val MAX_READ_SILENCE = 900.milliseconds
+
+        // A table of 1 MB takes this long at 1.3 Mbit/s. A transfer that proceeds is not given up sooner, since the
+        // next one would have to start anew.
+        val TRANSFER_TIMEOUT = 6.seconds
+
+        // Polls of the feed within the time for which API keys are accepted after a confirmation: each poll confirms
+        // the configuration and costs a call to the store.
+        const val POLLS_PER_KEY_WITHDRAWAL = 5
+        val MAX_FEED_WAIT = 1.seconds
+
+        // Before the store reports that its history is gone, its feed may be silent about changes for a second.
+        val MAX_FEED_LAG = 1.seconds
+        val FEED_DELAY = 100.milliseconds
+
+        // Limits the rate of calls during an outage: a refused call costs the store as much as a successful one.
+        val ERROR_DELAY = 1.seconds
+    }
+}
--- /dev/null
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/StoreSyncTest.kt
@@ -0,0 +1,119 @@
+package org.celerywalk.gateway
+
+import okhttp3.OkHttpClient
+import org.celerywalk.instance.SuspendAwareTimeSource
+import org.celerywalk.platform.wire.PlatformCalls
+import org.celerywalk.platform.wire.PlatformTable
+import org.junit.jupiter.api.AfterEach
+import java.io.OutputStream
+import java.io.PrintStream
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.locks.LockSupport
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+/** Guards against configurations that are not adopted in time, or not at all, since their transfer takes long. */
+class StoreSyncTest {
+    private val store = StoreStandIn()
+    private val log = EventLog("test", PrintStream(OutputStream.nullOutputStream()))
+    private val settings = testSettings().let { it.copy(bounds = it.bounds.copy(keyWithdrawal = 5.seconds)) }
+    private val state = FleetState(settings, SuspendAwareTimeSource(), { 1 }, { 1.0 })
+    private val sync = StoreSync(state, PlatformTable(PlatformCalls(OkHttpClient()), store.address), log) {}
+
+    @AfterEach
+    fun close() {
+        sync.close()
+        store.close()
+    }
+
+    @Test
+    fun `a configuration whose transfer takes longer than a call should be silent is adopted and confirmed`() {
+        putConfiguration(version = 1, routes = 2_000)
+        store.bytesPerSecond = 200_000
+        sync.start()
+        await { version() == 1L }
+        putConfiguration(version = 2, routes = 2_000)
+        await { version() == 2L }
+        await { state.confirmation.isWithin(CONFIRMATION_LIMIT) }
+    }
+
+    @Test
+    fun `a configuration is transferred once for each change, also while it is confirmed`() {
+        putConfiguration(version = 1, routes = 3)
+        sync.start()
+        await { version() == 1L }
+        val confirmedUntil = TimeSource.Monotonic.markNow() + 4.seconds
+        await { confirmedUntil.hasPassedNow() }
+        assertTrue(state.confirmation.isWithin(CONFIRMATION_LIMIT), "${state.confirmation.age()}")
+        assertEquals(1, store.transfers.getValue("config").get())
+        putConfiguration(version = 2, routes = 3)
+        await { version() == 2L }
+        assertEquals(2, store.transfers.getValue("config").get())
+    }
+
+    @Test
+    fun `versions that follow each other quickly over a slow link do not keep the newest from being adopted`() {
+        putConfiguration(version = 1, routes = 1_000)
+        sync.start()
+        await { version() == 1L }
+        store.bytesPerSecond = 400_000
+        (2..13).forEach { version ->
+            putConfiguration(version, routes = 1_000)
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(330))
+        }
+        val changedAt = TimeSource.Monotonic.markNow()
+        await { version() == 13L }
+        assertTrue(changedAt.elapsedNow() < 2.seconds, "in force after ${changedAt.elapsedNow()}")
+        assertTrue(state.confirmation.isWithin(CONFIRMATION_LIMIT), "${state.confirmation.age()}")
+    }
+
+    @Test
+    fun `a change that the store has discarded from its history is adopted`() {
+        putConfiguration(version = 1, routes = 3)
+        sync.start()
+        await { version() == 1L }
+        store.isUp = false
+        putConfiguration(version = 2, routes = 3)
+        store.forgetHistory()
+        store.isUp = true
+        await { version() == 2L }
+    }
+
+    @Test
+    fun `a confirmation ends while the store is away and comes back with it`() {
+        putConfiguration(version = 1, routes = 3)
+        sync.start()
+        await { version() == 1L }
+        store.isUp = false
+        await { !state.confirmation.isWithin(CONFIRMATION_LIMIT) }
+        store.isUp = true
+        await { state.confirmation.isWithin(CONFIRMATION_LIMIT) }
+    }
+
+    private fun version() = state.activeConfiguration?.configuration?.version
+
+    private fun putConfiguration(version: Int, routes: Int) {
+        val routeTexts = List(routes) {
+            """{"name":"r$it","hostname":"h","prefix":"/route-$it/","type":"idempotent","backend":"s","timeout_ms":5000,
+                "max_attempts":2}"""
+        }
+        store.put("op", "config", """{"version":$version,"routes":[${routeTexts.joinToString(",")}],"services":[]}""")
+    }
+
+    private fun await(condition: () -> Boolean) {
+        repeat(1_200) {
+            if (condition()) return
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(25))
+        }
+        error("not observed within 30 s: version ${version()}, confirmed ${state.confirmation.age()} ago")
+    }
+
+    private companion object {
+        // Key withdrawal bound less the margin of Admission.
+        val CONFIRMATION_LIMIT = 4_700.milliseconds
+    }
+}
