Bound what an endpoint's response takes of a gateway's memory

A response without end (a header, interim responses, the line before a chunk, a body, an event) filled the memory of a gateway until it died, for all callers of that gateway. The caller of that request waited until its time was up.

Cause: bodies of plain services were read to their end, whatever their length; events of a stream were collected until their end; OkHttp reads the line before a chunk as a whole and any number of interim responses.

Change: a body may have 4 MiB, all that are held together 8 MiB, an event 256 KiB. Heads were bounded by OkHttp before (256 KiB). The request gets 502, a stream that has begun is cut, and the connection is closed without reading on. The budget of the entry for request bodies moves to the library, since gateways use it too.

A response of a plain service that is longer than 4 MiB is now refused with 502.

--- a/entry/src/main/kotlin/org/celerywalk/entry/EntryComponents.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/EntryComponents.kt
@@ -9,7 +9,6 @@
 import org.celerywalk.entry.chat.RelayManager
 import org.celerywalk.entry.chat.ReplicaSelector
 import org.celerywalk.entry.http.AccessControl
-import org.celerywalk.entry.http.BodyMemoryBudget
 import org.celerywalk.entry.http.BodyReader
 import org.celerywalk.entry.http.HttpServer
 import org.celerywalk.entry.http.ModelsRoute
@@ -23,6 +22,7 @@
 import org.celerywalk.key.KeyHasher
 import org.celerywalk.key.OpenStreams
 import org.celerywalk.key.RequestAuthenticator
+import org.celerywalk.limit.MemoryBudget
 import org.celerywalk.protocol.ReplicaSummary
 import org.celerywalk.rpc.openChannel
 import org.celerywalk.settings.EntrySettings
@@ -54,7 +54,7 @@
         openStreams,
     )
     private val accessControl = AccessControl(authenticator, lifecycle::isAcceptingRequests)
-    private val bodyReader = BodyReader(settings.limits.maxRequestBytes, BodyMemoryBudget(MAX_BODY_MEMORY_BYTES))
+    private val bodyReader = BodyReader(settings.limits.maxRequestBytes, MemoryBudget(MAX_BODY_MEMORY_BYTES))
     private val routeRunner = RouteRunner(bodyReader, metrics::recordRefusal)
     private val lostBookingResolver = LostBookingResolver(AttemptBarWriter(dependencies.table, dependencies.wallClock))
     private val serviceClient =
--- a/entry/src/main/kotlin/org/celerywalk/entry/http/RequestBody.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/http/RequestBody.kt
@@ -6,13 +6,14 @@
 import io.javalin.http.Context
 import jakarta.servlet.ReadListener
 import jakarta.servlet.ServletInputStream
+import org.celerywalk.limit.MemoryBudget
 import java.io.ByteArrayOutputStream
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.seconds
 
 /** Request body that counts against the memory budget until [release]. */
-internal class RequestBody(bytes: ByteArray, private val budget: BodyMemoryBudget) {
+internal class RequestBody(bytes: ByteArray, private val budget: MemoryBudget) {
     private val sizeBytes = bytes.size
     private var content: ByteArray? = bytes
 
@@ -31,7 +32,7 @@
  *
  * @param maxBytes maximum size of a body.
  */
-internal class BodyReader(private val maxBytes: Int, private val budget: BodyMemoryBudget) {
+internal class BodyReader(private val maxBytes: Int, private val budget: MemoryBudget) {
     /** Reads the body of a request whose asynchronous processing has begun. */
     fun read(context: Context): CompletableFuture<Either<Problem, RequestBody>> {
         if (context.req().contentLengthLong > maxBytes) return CompletableFuture.completedFuture(tooLarge().left())
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointClient.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointClient.kt
@@ -11,6 +11,7 @@
 import okhttp3.RequestBody
 import okhttp3.RequestBody.Companion.toRequestBody
 import okhttp3.Response
+import org.celerywalk.platform.wire.limitUnreadBytes
 import java.io.IOException
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
@@ -69,6 +70,7 @@
         .readTimeout(0, TimeUnit.MILLISECONDS)
         .eventListener(SendListener())
         .addNetworkInterceptor(stripRetryAfter)
+        .limitUnreadBytes()
         .build()
 
     /**
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointSender.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointSender.kt
@@ -86,6 +86,8 @@
                     handleNotExecuted(endpoint, response.code, responseHeaders, expectedWeightsVersion)
                 } else {
                     relay.relay(response, responseHeaders, onBodyRead)
+                        // Closes the connection without reading the rest of the response.
+                        .also { if (it is AttemptOutcome.ResponseLost) call.cancel() }
                 }
             }
         }
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/ForwardingContext.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/ForwardingContext.kt
@@ -1,5 +1,6 @@
 package org.celerywalk.gateway
 
+import org.celerywalk.limit.MemoryBudget
 import org.celerywalk.platform.wire.ReplicaCalls
 import org.celerywalk.routing.ServiceEndpointChooser
 import kotlin.random.Random
@@ -15,10 +16,15 @@
 /** Choosers of endpoints: [generations] for model replicas, [services] for services without an engine. */
 internal class EndpointChoosers(val generations: GenerationPlacer, val services: ServiceEndpointChooser)
 
-/** Dependencies of a send to an endpoint. */
+/**
+ * Dependencies of a send to an endpoint.
+ *
+ * @property responseMemory budget for the responses that are held in memory until they are complete.
+ */
 internal class SendContext(
     val client: EndpointClient,
     val replicas: ReplicaCalls,
     val log: EventLog,
     val metrics: GatewayMetrics,
+    val responseMemory: MemoryBudget,
 )
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
@@ -4,6 +4,7 @@
 import okhttp3.ConnectionSpec
 import okhttp3.OkHttpClient
 import org.celerywalk.instance.SuspendAwareTimeSource
+import org.celerywalk.limit.MemoryBudget
 import org.celerywalk.platform.wire.PlatformCalls
 import org.celerywalk.platform.wire.PlatformTable
 import org.celerywalk.platform.wire.ReplicaCalls
@@ -99,7 +100,7 @@
         val chooser = ModelReplicaChooser(timeSource, state.loads, state.locations, settings.dataCentre, prefillSpeed)
         return ForwardingContext(
             state,
-            SendContext(EndpointClient(), replicas, log, metrics),
+            SendContext(EndpointClient(), replicas, log, metrics, MemoryBudget(RESPONSE_MEMORY_BYTES)),
             EndpointChoosers(
                 GenerationPlacer(state, chooser, log, peers::announcePlacement),
                 ServiceEndpointChooser(state.loads, settings.dataCentre),
@@ -128,6 +129,9 @@
     private companion object {
         const val MAX_IDLE_CONNECTIONS = 48
         const val KEEP_ALIVE_SECONDS = 5L
+
+        // A ninth of the heap that deploy/system.toml allows; a response is held twice while it is put together.
+        const val RESPONSE_MEMORY_BYTES = 8L * 1024 * 1024
         val CONNECT_TIMEOUT = 400.milliseconds
         val CONFIRMATION_MARGIN = 300.milliseconds
 
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/RequestForwarder.kt
@@ -20,7 +20,7 @@
     private val service = route.selectService(context.random)
     private val budget = context.state.retryBudgetOf(service)
     private val sentEndpointIds = mutableListOf<String>()
-    private val relay = ResponseRelay(exchange, route)
+    private val relay = ResponseRelay(exchange, route, context.sendContext.responseMemory)
     private val sender = EndpointSender(exchange, route, admitted.body, relay, context.state, context.sendContext)
     private var executions = 0
     private var lastServerError: BufferedResponse? = null
@@ -38,12 +38,12 @@
     val endpointIds: List<String> get() = sentEndpointIds
 
     /** Forwards the request, completes the caller's response and returns the outcome's name for logs and metrics. */
-    fun forward(): String {
+    fun forward(): String = relay.use {
         budget.recordRequest()
         var outcome = sendToNextEndpoint()
         while (canRetry(outcome)) outcome = sendToNextEndpoint()
         if (executions == 0) admitted.refund()
-        return completeResponse(outcome)
+        completeResponse(outcome)
     }
 
     private fun timeLeft(): Duration = timeout - exchange.elapsed()
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/ResponseRelay.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/ResponseRelay.kt
@@ -2,7 +2,9 @@
 
 import okhttp3.Response
 import okio.BufferedSource
+import org.celerywalk.limit.MemoryBudget
 import org.celerywalk.platform.wire.EndpointResponseHeaders
+import org.celerywalk.platform.wire.readBody
 import org.celerywalk.route.RequestKind
 import org.celerywalk.route.Route
 import org.celerywalk.stream.ServerSentEventSplitter
@@ -11,8 +13,17 @@
 /** Response of an endpoint whose body has been read completely. */
 internal class BufferedResponse(val status: Int, val fields: List<Pair<String, String>>, val body: ByteArray)
 
-/** Relays responses of endpoints to one caller. */
-internal class ResponseRelay(private val exchange: CallerExchange, private val route: Route) {
+/**
+ * Relays responses of endpoints to one caller.
+ *
+ * @param memory budget for the responses that are held in memory; [close] returns what this relay has reserved.
+ */
+internal class ResponseRelay(
+    private val exchange: CallerExchange,
+    private val route: Route,
+    private val memory: MemoryBudget,
+) : AutoCloseable {
+    private var reservedBytes = 0
     private val boundaries = ServerSentEventSplitter()
 
     /** ID of the last event that was relayed, or null if there is none or the stream is not resumable. */
@@ -41,7 +52,7 @@
 
     private fun relayBuffered(response: Response, onBodyRead: () -> Unit): AttemptOutcome {
         val body = try {
-            response.body.bytes()
+            response.readBody(MAX_BUFFERED_BYTES, ::reserve)
         } catch (e: IOException) {
             return AttemptOutcome.ResponseLost("body: ${e.message}")
         }
@@ -49,6 +60,10 @@
         return sendUnlessServerError(BufferedResponse(response.code, response.fields(), body))
     }
 
+    private fun reserve(bytes: Int): Boolean = memory.tryReserveBytes(bytes).also { if (it) reservedBytes += bytes }
+
+    override fun close() = memory.releaseBytes(reservedBytes)
+
     private fun sendUnlessServerError(bufferedResponse: BufferedResponse): AttemptOutcome {
         if (bufferedResponse.status >= MIN_SERVER_ERROR_STATUS) return AttemptOutcome.ServerError(bufferedResponse)
         sendBuffered(bufferedResponse)
@@ -69,6 +84,9 @@
             if (count < 0) break
             if (!exchange.response.isCommitted) startResponse(response)
             relayChunk(buffer, count)
+            if (boundaries.partialEventBytes > MAX_EVENT_BYTES) {
+                return AttemptOutcome.ResponseLost("stream: an event has more than $MAX_EVENT_BYTES bytes")
+            }
         }
         if (!exchange.response.isCommitted) startResponse(response)
         return if (boundaries.endsAtEventBoundary) {
@@ -107,5 +125,7 @@
         const val OK = 200
         const val MIN_SERVER_ERROR_STATUS = 500
         const val BUFFER_BYTES = 8 * 1024
+        const val MAX_BUFFERED_BYTES = 4L * 1024 * 1024
+        const val MAX_EVENT_BYTES = 256 * 1024
     }
 }
--- a/entry/src/main/kotlin/org/celerywalk/entry/http/BodyMemoryBudget.kt
+++ b/library/src/main/kotlin/org/celerywalk/limit/MemoryBudget.kt
@@ -1,19 +1,20 @@
-package org.celerywalk.entry.http
+package org.celerywalk.limit
 
 import java.util.concurrent.atomic.AtomicLong
 
-/** Limits the memory that the bodies of all open requests occupy to [limitBytes]. */
-internal class BodyMemoryBudget(private val limitBytes: Long) {
+/** Limits the memory that the bodies of all open requests or responses occupy to [limitBytes]. Thread-safe. */
+public class MemoryBudget(private val limitBytes: Long) {
     private val reservedBytes = AtomicLong()
 
     /** Reserves [bytes]; returns false and reserves nothing if the limit would be exceeded. */
-    fun tryReserveBytes(bytes: Int): Boolean {
+    public fun tryReserveBytes(bytes: Int): Boolean {
         val isWithinLimit = reservedBytes.addAndGet(bytes.toLong()) <= limitBytes
         if (!isWithinLimit) reservedBytes.addAndGet(-bytes.toLong())
         return isWithinLimit
     }
 
-    fun releaseBytes(bytes: Int) {
+    /** Returns [bytes] that were reserved. */
+    public fun releaseBytes(bytes: Int) {
         reservedBytes.addAndGet(-bytes.toLong())
     }
 }
--- a/library/src/main/kotlin/org/celerywalk/stream/ServerSentEventSplitter.kt
+++ b/library/src/main/kotlin/org/celerywalk/stream/ServerSentEventSplitter.kt
@@ -16,6 +16,9 @@
     /** True if the added bytes end with a complete event. */
     public val endsAtEventBoundary: Boolean get() = pending.isEmpty()
 
+    /** Number of bytes of the event that is not complete yet. */
+    public val partialEventBytes: Int get() = pending.length
+
     /** Adds [text] (one char per byte) and returns the events that it completes, or an empty string. */
     public fun add(text: String): String {
         pending.append(text)
