Bound what an engine's response takes of an agent's memory

The same cause on the product's other path: the body of a refusal and the data of an event were collected without limit, so an engine that sends bytes without end filled the memory of its agent.

Change: 64 KiB of a refusal are read, then the connection is closed; an event has the limit that a line had (1 MiB).

Found and not mended: after a head without end the JDK's HTTP client fails the stream at 384 KiB, but leaves the connection open.

--- a/runtime/src/main/kotlin/org/celerywalk/engine/EngineStream.kt
+++ b/runtime/src/main/kotlin/org/celerywalk/engine/EngineStream.kt
@@ -18,7 +18,7 @@
     private val nanoTime: () -> Long,
     private val onEnd: (EngineStream) -> Unit,
 ) : Flow.Subscriber<List<ByteBuffer>> {
-    private val parser = EventStreamParser(MAX_LINE_BYTES)
+    private val parser = EventStreamParser(MAX_EVENT_BYTES)
     private val pendingEvents = ArrayDeque<ServerSentEvent>()
     private val receivedBuffers = AtomicReference<List<ByteBuffer>?>()
     private val failure = AtomicReference<EngineError?>()
@@ -121,6 +121,6 @@
 
     private companion object {
         const val STEP = "generate"
-        const val MAX_LINE_BYTES = 1024 * 1024
+        const val MAX_EVENT_BYTES = 1024 * 1024
     }
 }
--- a/runtime/src/main/kotlin/org/celerywalk/engine/EngineStreams.kt
+++ b/runtime/src/main/kotlin/org/celerywalk/engine/EngineStreams.kt
@@ -7,7 +7,6 @@
 import java.net.http.HttpRequest
 import java.net.http.HttpRequest.BodyPublishers
 import java.net.http.HttpResponse.BodyHandler
-import java.net.http.HttpResponse.BodySubscriber
 import java.net.http.HttpResponse.BodySubscribers
 import java.util.concurrent.CompletionException
 import java.util.concurrent.ConcurrentHashMap
@@ -79,8 +78,7 @@
         if (info.statusCode() == STATUS_OK) {
             BodySubscribers.fromSubscriber(stream)
         } else {
-            val body: BodySubscriber<ByteArray> = BodySubscribers.ofByteArray()
-            BodySubscribers.mapping(body) {
+            BodySubscribers.mapping(BodyPrefixSubscriber(MAX_REFUSAL_BYTES)) {
                 refusal.set(refusal("generate", baseUrl, info.statusCode(), it))
                 null
             }
@@ -115,5 +113,8 @@
     private companion object {
         const val STATUS_OK = 200
         const val CHECKS_PER_IDLE_TIMEOUT = 4
+
+        // The text of a refusal is a short JSON document.
+        const val MAX_REFUSAL_BYTES = 64 * 1024
     }
 }
--- a/runtime/src/main/kotlin/org/celerywalk/engine/EventStreamParser.kt
+++ b/runtime/src/main/kotlin/org/celerywalk/engine/EventStreamParser.kt
@@ -9,8 +9,12 @@
 /** A server-sent event. */
 internal data class ServerSentEvent(val name: String, val data: String)
 
-/** Incremental parser of a `text/event-stream`. Comments and unknown fields are skipped. */
-internal class EventStreamParser(private val maxLineBytes: Int) {
+/**
+ * Incremental parser of a `text/event-stream`. Comments and unknown fields are skipped.
+ *
+ * @param maxEventBytes maximum length of a line, and of the data of an event.
+ */
+internal class EventStreamParser(private val maxEventBytes: Int) {
     private val line = ByteArrayOutputStream()
     private var name = ""
     private val data = StringBuilder()
@@ -18,7 +22,7 @@
     /** Consumes [bytes] and returns the events completed by them, or an error message. */
     fun feed(bytes: ByteBuffer): Either<String, List<ServerSentEvent>> {
         val events = ArrayList<ServerSentEvent>()
-        while (bytes.hasRemaining() && line.size() <= maxLineBytes) {
+        while (bytes.hasRemaining() && isWithinLimit()) {
             val byte = bytes.get().toInt()
             if (byte != '\n'.code) {
                 line.write(byte)
@@ -28,9 +32,11 @@
                 parseLine(text)?.let(events::add)
             }
         }
-        return if (line.size() > maxLineBytes) "a line is longer than $maxLineBytes bytes".left() else events.right()
+        return if (isWithinLimit()) events.right() else "an event is longer than $maxEventBytes bytes".left()
     }
 
+    private fun isWithinLimit() = line.size() <= maxEventBytes && data.length <= maxEventBytes
+
     private fun parseLine(text: String): ServerSentEvent? {
         val value = text.substringAfter(':', "").removePrefix(" ")
         var event: ServerSentEvent? = null
