--- a/library/src/test/kotlin/org/celerywalk/route/RouteTableTest.kt
+++ b/library/src/test/kotlin/org/celerywalk/route/RouteTableTest.kt
@@ -28,6 +28,18 @@
         assertNull(table.find("one.test", "/a"))
     }
 
+    @Test
+    fun `the longest of many prefixes is found`() {
+        val random = Random(7)
+        val prefixes = List(300) { randomPath(random) }.distinct()
+        val table = RouteTable(prefixes.map { route(it, it) })
+        repeat(3_000) {
+            val target = randomPath(random) + "x"
+            val longest = prefixes.filter(target::startsWith).maxByOrNull { it.length }
+            assertEquals(longest, table.find("one.test", target)?.name, target)
+        }
+    }
+
     @Test
     fun `services are selected in proportion to their weights`() {
         val split = route("split", "/s/").copy(targets = listOf(RouteTarget("x", 90), RouteTarget("y", 10)))
@@ -58,4 +70,7 @@
         allowsAnonymous = false,
         isResumable = false,
     )
+
+    private fun randomPath(random: Random) =
+        List(random.nextInt(4)) { listOf("a", "b", "ab", "").random(random) }.joinToString("/", "/", "/")
 }
