Take back a request that has not started when its weights expire

A request that a gateway placed on superseded weights could wait in a replica's queue and start after the time from which on none may start on them (VERSION).

Cause found by reading: such placements end 2.5 s before that time, but a caller waits longer than that for its first event (4 s where pauses of 500 ms are allowed). Nothing ended the wait.

Ruled out: a placement after the limit (ModelReplicaChooserTest), and an answer of another version (each send names the expected one).

Change: a call whose weights are superseded is cancelled 0.5 s before they expire unless its endpoint has begun to answer. The caller gets 502, or the request is sent to another replica where the route allows it.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointSender.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointSender.kt
@@ -12,6 +12,14 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+/**
+ * Time limits of one send.
+ *
+ * @property total time until the response is complete, or null if only the request's own timeout applies.
+ * @property start time until the endpoint starts to answer, or null if only [total] applies.
+ */
+internal class SendLimits(val total: Duration?, val start: Duration?)
+
 /** Sends the request of [exchange] to one endpoint, classifies the outcome and records the endpoint's health. */
 internal class EndpointSender(
     private val exchange: CallerExchange,
@@ -24,14 +32,13 @@
     /**
      * Sends the request once to [endpoint]. Blocks until the response is relayed or the send has failed.
      *
-     * @param timeout timeout of this send, or null if only the request's own timeout applies.
      * @param tryTakeRelocation takes a retry from the retry budget, or null if the stream can't be relocated.
      * @param onBodyRead called after each read of the response body, first with its first bytes.
      */
     fun send(
         endpoint: RegisteredEndpoint,
         forwarded: ForwardedRequest,
-        timeout: Duration?,
+        limits: SendLimits,
         tryTakeRelocation: (() -> Boolean)?,
         onBodyRead: () -> Unit,
     ): AttemptOutcome {
@@ -40,11 +47,18 @@
         val readTimeout = STREAM_READ_TIMEOUT.takeIf { route.kind == RequestKind.STREAMING && route.isRetryable }
         val call = context.client.prepare(endpoint.address, request, readTimeout)
             ?: return AttemptOutcome.Rejected("path_not_canonical", Duration.ZERO)
-        timeout?.let { call.timeout().timeout(it.inWholeMilliseconds.coerceAtLeast(1), TimeUnit.MILLISECONDS) }
+        limits.total?.let { call.timeout().timeout(it.inWholeMilliseconds.coerceAtLeast(1), TimeUnit.MILLISECONDS) }
         exchange.attach(call)
         val expectedWeightsVersion = forwarded.generation?.expectedWeightsVersion
         return sendRelocatable(endpoint, call, tryTakeRelocation) {
-            sendAndClassify(endpoint, call, expectedWeightsVersion, onBodyRead)
+            StartDeadline(context.timers, call, limits.start).use { deadline ->
+                val outcome = sendAndClassify(endpoint, call, expectedWeightsVersion) {
+                    deadline.close()
+                    onBodyRead()
+                }
+                outcome.takeUnless { deadline.isExpired }
+                    ?: AttemptOutcome.ResponseLost("not started while its weights were allowed")
+            }
         }
     }
 
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/ForwardingContext.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/ForwardingContext.kt
@@ -3,6 +3,7 @@
 import org.celerywalk.limit.MemoryBudget
 import org.celerywalk.platform.wire.ReplicaCalls
 import org.celerywalk.routing.ServiceEndpointChooser
+import java.util.concurrent.ScheduledExecutorService
 import kotlin.random.Random
 
 /** Dependencies that all forwarded requests share. */
@@ -19,6 +20,7 @@
 /**
  * Dependencies of a send to an endpoint.
  *
+ * @property timers runs the time limits of requests and sends.
  * @property responseMemory budget for the responses that are held in memory until they are complete.
  */
 internal class SendContext(
@@ -27,4 +29,5 @@
     val log: EventLog,
     val metrics: GatewayMetrics,
     val responseMemory: MemoryBudget,
+    val timers: ScheduledExecutorService,
 )
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
@@ -11,6 +11,8 @@
 import org.celerywalk.routing.ModelReplicaChooser
 import org.celerywalk.routing.ServiceEndpointChooser
 import java.nio.channels.ServerSocketChannel
+import java.util.concurrent.ScheduledExecutorService
+import java.util.concurrent.ScheduledThreadPoolExecutor
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.locks.LockSupport
 import java.util.logging.Level
@@ -43,6 +45,9 @@
     }
     private val weightRollout: WeightRolloutController =
         WeightRolloutController(state, lease, replicas, log, { !lease.isHeld && peers.peerHoldsLease }, peers::sendSoon)
+    private val timers: ScheduledExecutorService = ScheduledThreadPoolExecutor(1) { task ->
+        Thread(task, "timeouts").apply { isDaemon = true }
+    }.apply { removeOnCancelPolicy = true }
     private val handler = RequestHandler(state, createForwardingContext(), log, metrics)
     private val server = GatewayServer(settings, handler, Pages(), callersSocket)
 
@@ -100,7 +105,7 @@
         val chooser = ModelReplicaChooser(timeSource, state.loads, state.locations, settings.dataCentre, prefillSpeed)
         return ForwardingContext(
             state,
-            SendContext(EndpointClient(), replicas, log, metrics, MemoryBudget(RESPONSE_MEMORY_BYTES)),
+            SendContext(EndpointClient(), replicas, log, metrics, MemoryBudget(RESPONSE_MEMORY_BYTES), timers),
             EndpointChoosers(
                 GenerationPlacer(state, chooser, log, peers::announcePlacement),
                 ServiceEndpointChooser(state.loads, settings.dataCentre),
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GenerationPlacer.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GenerationPlacer.kt
@@ -16,10 +16,15 @@
 
 /** Decision about the placement of a generation. */
 internal sealed interface PlacementDecision {
-    /** The generation is sent to [endpoint]; [reservation] counts its load there until it is closed. */
+    /**
+     * The generation is sent to [endpoint]; [reservation] counts its load there until it is closed.
+     *
+     * @property startLimit time until the generation must have started, since its weights are superseded, or null.
+     */
     class Placed(
         val endpoint: RegisteredEndpoint,
         val headers: ForwardedGeneration,
+        val startLimit: Duration?,
         val reservation: LoadReservation,
     ) : PlacementDecision
 
@@ -140,10 +145,16 @@
         return PlacementDecision.Placed(
             endpoint,
             headers,
+            startLimit(generation.model, placement.version),
             LoadReservation(state.loads.getOrCreate(endpoint.id), placement.work),
         )
     }
 
+    private fun startLimit(model: String, version: Int): Duration? =
+        state.weightHistoryOf(model).timeSinceSuperseded(version)?.let { supersededTime ->
+            (state.settings.bounds.weightsDeadline - START_MARGIN - supersededTime).coerceAtLeast(Duration.ZERO)
+        }
+
     private fun accountOrRoutePriority(admitted: AdmittedRequest) =
         (admitted.account?.priority ?: admitted.route.priority).coerceIn(0, LOWEST_PRIORITY)
 
@@ -168,5 +179,8 @@
 
         // Covers the time that a request may wait in a replica's queue before it begins.
         val OLD_WEIGHTS_MARGIN = 2500.milliseconds
+
+        // Covers the way of the cancellation to the replica and the age of the announcement when it was read.
+        val START_MARGIN = 500.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/RequestForwarder.kt
@@ -76,7 +76,9 @@
     private fun sendToReplica(candidates: List<RegisteredEndpoint>): AttemptOutcome =
         when (val decision = context.choosers.generations.place(exchange, admitted, service, candidates, timeLeft())) {
             is PlacementDecision.Placed ->
-                decision.reservation.use { send(decision.endpoint, decision.headers, it::releasePrefill) }
+                decision.reservation.use {
+                    send(decision.endpoint, decision.headers, decision.startLimit, it::releasePrefill)
+                }
             is PlacementDecision.Refused -> AttemptOutcome.Rejected(decision.reason, decision.retryAfter)
         }
 
@@ -87,13 +89,14 @@
             endpoint == null || expectedDuration == null -> AttemptOutcome.Rejected("no_endpoint", DEFAULT_RETRY_AFTER)
             expectedDuration > timeLeft() -> AttemptOutcome.Rejected("overloaded", expectedDuration / 2)
             else -> LoadReservation(context.state.loads.getOrCreate(endpoint.id), SINGLE_CALL)
-                .use { send(endpoint, null) {} }
+                .use { send(endpoint, null, null) {} }
         }
     }
 
     private fun send(
         endpoint: RegisteredEndpoint,
         generation: ForwardedGeneration?,
+        startLimit: Duration?,
         onBodyRead: () -> Unit,
     ): AttemptOutcome {
         sentEndpointIds += endpoint.id
@@ -109,7 +112,7 @@
         val outcome = sender.send(
             endpoint,
             forwarded,
-            (timeLeft() / 2).takeIf { canRunAgain },
+            SendLimits(total = (timeLeft() / 2).takeIf { canRunAgain }, start = startLimit),
             tryTakeRelocation,
             onBodyRead,
         )
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/RequestHandler.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/RequestHandler.kt
@@ -4,8 +4,6 @@
 import org.eclipse.jetty.server.Response
 import org.eclipse.jetty.util.Callback
 import java.io.IOException
-import java.util.concurrent.ScheduledExecutorService
-import java.util.concurrent.ScheduledThreadPoolExecutor
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
@@ -18,12 +16,9 @@
     private val forwardingContext: ForwardingContext,
     private val log: EventLog,
     private val metrics: GatewayMetrics,
-) : AutoCloseable {
+) {
     private val admission = Admission(state)
     private val openRequests = AtomicInteger()
-    private val timers: ScheduledExecutorService = ScheduledThreadPoolExecutor(1) { task ->
-        Thread(task, "timeouts").apply { isDaemon = true }
-    }.apply { removeOnCancelPolicy = true }
 
     /** True once the process was told to stop; each response then closes its connection. Set by another thread. */
     @Volatile
@@ -57,14 +52,10 @@
         }
     }
 
-    override fun close() {
-        timers.shutdownNow()
-    }
-
     private fun forward(exchange: CallerExchange, admitted: AdmittedRequest) {
         val timeout = minOf(admitted.route.timeout, exchange.caller.timeLeft ?: Duration.INFINITE)
         val timeLeft = timeout - exchange.elapsed() - RESPONSE_DELIVERY_TIME
-        val timer = timers.schedule(
+        val timer = forwardingContext.sendContext.timers.schedule(
             { exchange.cancel(CancelReason.TIME_IS_UP) },
             timeLeft.coerceAtLeast(Duration.ZERO).inWholeMilliseconds,
             TimeUnit.MILLISECONDS,
