Report only ejections that a gateway's own calls caused

The more gateways, the likelier two reports.

Change: EndpointHealth remembers whether reports caused an ejection; the exchange names only the others. Test: EndpointHealthTest (new case; the property did not exist before, so it was not seen to fail on the old code).

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/PeerEjections.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/PeerEjections.kt
@@ -19,7 +19,7 @@
         val previous = endpointsByPeer.put(peer, endpoints).orEmpty()
         val known = state.directory.endpoints
         (endpoints - previous).filter { it in known }.forEach { endpoint ->
-            if (state.loads.getOrCreate(endpoint).health.recordFailure()) {
+            if (state.loads.getOrCreate(endpoint).health.recordPeerEjection()) {
                 log.write("endpoint_ejected", "endpoint" to endpoint, "peer" to peer)
             }
         }
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/PeerExchange.kt
@@ -129,7 +129,7 @@
                 .mapValues { (id, endpoint) -> unregisteredVersions(id, endpoint, models) }
                 .filterValues { it.isNotEmpty() },
             changingEndpoints = loads.filterValues { it.hasPendingWeightOrder }.keys.toSet(),
-            ejectedEndpoints = loads.filterValues { it.health.isEjected }.keys.toSet(),
+            ejectedEndpoints = loads.filterValues { it.health.isEjectedByOwnCalls }.keys.toSet(),
             weightAges = models.associateWith { state.weightHistoryOf(it).latestVersionAges() },
             placements = buildList { placements.drain(::add) },
             holdsLease = holdsLease(),
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/PeerState.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/PeerState.kt
@@ -21,7 +21,7 @@
  * @property work work of the sender's own calls by endpoint.
  * @property versions weights versions by endpoint and model that are newer than in the registry.
  * @property changingEndpoints replicas with a pending weight order of the sender.
- * @property ejectedEndpoints endpoints that the sender has ejected.
+ * @property ejectedEndpoints endpoints that the sender has ejected because of its own calls.
  * @property weightAges time since the publication of each version by model.
  * @property placements prompts that the sender has placed since its last message; not repeated.
  * @property cacheEvents events of the caches that the sender reads, by holder; without events, its position in them.
--- a/library/src/main/kotlin/org/celerywalk/endpoint/EndpointHealth.kt
+++ b/library/src/main/kotlin/org/celerywalk/endpoint/EndpointHealth.kt
@@ -21,11 +21,19 @@
     private var applicationErrorRate = 0.0
     private var consecutiveEjections = 0
     private var ejectedUntil: ComparableTimeMark? = null
+    private var wasEjectedByReport = false
 
     /** True while the endpoint should get no new requests. */
     public val isEjected: Boolean
         @Synchronized get() = ejectedUntil?.hasNotPassedNow() ?: false
 
+    /**
+     * True while the endpoint is ejected because of calls of this process. Only such ejections are reported to peers;
+     * otherwise two reports would spread over all instances.
+     */
+    public val isEjectedByOwnCalls: Boolean
+        @Synchronized get() = isEjected && !wasEjectedByReport
+
     /** Moving average of the share of answers that report an application error, 0 to 1. */
     public val errorRate: Double
         @Synchronized get() = applicationErrorRate
@@ -42,22 +50,30 @@
     @Synchronized
     public fun recordFailure(): Boolean {
         failureRate += SMOOTHING_FACTOR * (1 - failureRate)
-        return ejectIfFailing()
+        return ejectIfFailing(isReport = false)
+    }
+
+    /** Records that a peer has ejected the endpoint, which counts like a failure; returns true if this ejected it. */
+    @Synchronized
+    public fun recordPeerEjection(): Boolean {
+        failureRate += SMOOTHING_FACTOR * (1 - failureRate)
+        return ejectIfFailing(isReport = true)
     }
 
     /** Records that another process now has the endpoint's address, and returns true if this ejected the endpoint. */
     @Synchronized
     public fun recordReplacement(): Boolean {
         failureRate = 1.0
-        return ejectIfFailing()
+        return ejectIfFailing(isReport = false)
     }
 
-    private fun ejectIfFailing(): Boolean {
+    private fun ejectIfFailing(isReport: Boolean): Boolean {
         val shouldEject = failureRate > EJECTION_FAILURE_RATE && !(ejectedUntil?.hasNotPassedNow() ?: false)
         if (shouldEject) {
             val doublings = min(consecutiveEjections, MAX_DOUBLINGS)
             ejectedUntil = timeSource.markNow() + baseEjectionTime * (1 shl doublings)
             consecutiveEjections++
+            wasEjectedByReport = isReport
             failureRate = EJECTION_FAILURE_RATE
         }
         return shouldEject
--- a/library/src/test/kotlin/org/celerywalk/endpoint/EndpointHealthTest.kt
+++ b/library/src/test/kotlin/org/celerywalk/endpoint/EndpointHealthTest.kt
@@ -21,6 +21,17 @@
         assertFalse(health.isEjected)
     }
 
+    /** Guards against ejections that spread from two gateways to all others. */
+    @Test
+    fun `an ejection that reports of peers caused is not one to report`() {
+        repeat(2) { health.recordPeerEjection() }
+        assertTrue(health.isEjected)
+        assertFalse(health.isEjectedByOwnCalls)
+        time += 1.1.seconds
+        repeat(2) { health.recordFailure() }
+        assertTrue(health.isEjectedByOwnCalls)
+    }
+
     @Test
     fun `a later start at the address ejects the endpoint at once, each time for longer`() {
         assertTrue(health.recordReplacement())
