--- a/acceptance/src/test/kotlin/org/celerywalk/acceptance/Caller.kt
+++ b/acceptance/src/test/kotlin/org/celerywalk/acceptance/Caller.kt
@@ -35,6 +35,12 @@
         0
     }
 
+    /** Returns the value of the metric [name] without labels, or null if the entry does not report it. */
+    fun metric(name: String): Double? =
+        client.newCall(Request.Builder().url("$url/metrics").build()).execute().use { response ->
+            response.body.string().lines().find { it.startsWith("$name ") }?.substringAfter(' ')?.toDouble()
+        }
+
     /** Books a swap at [stop] with an idempotency key that depends on the stop alone; returns HTTP status and body. */
     fun book(stop: String): Pair<Int, JsonNode> {
         val request = Request.Builder().url("$url/services/swaps/$stop")
--- a/entry/src/main/kotlin/org/celerywalk/entry/EntryComponents.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/EntryComponents.kt
@@ -81,6 +81,7 @@
         metrics.registerGauge("celerywalk.open.requests") { routeRunner.openRequestCount }
         metrics.registerGauge("celerywalk.replicas") { endpoints.activeReplicas().size }
         metrics.registerGauge("celerywalk.open.streams") { openStreams.size }
+        metrics.registerGauge("celerywalk.rate.share", dependencies.rateShare)
     }
 
     /** Returns the replica summaries that the agent of [endpoint] last reported. */
--- a/entry/src/main/kotlin/org/celerywalk/entry/EntryDependencies.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/EntryDependencies.kt
@@ -13,6 +13,7 @@
  *
  * @property isWithdrawn returns whether a key id was withdrawn outside the configuration.
  * @property areKeysConfirmed returns whether this process may serve requests with keys now.
+ * @property rateShare returns the part of all rates that this process may use now, 0 to 1.
  * @property wallClock returns milliseconds since the epoch.
  * @property buildServices builds the gRPC services for other processes and operators; `summaries` returns the last
  *   reported replica summaries of an endpoint.
@@ -26,6 +27,7 @@
     public val areKeysConfirmed: () -> Boolean,
     public val admission: Admission,
     public val endpointChooser: EndpointChooser,
+    public val rateShare: () -> Double = { 1.0 },
     public val buildServices: (summaries: (endpoint: String) -> List<ReplicaSummary>) -> List<ServerServiceDefinition> =
         { emptyList() },
     public val onStart: () -> Unit = {},
--- a/entry/src/main/kotlin/org/celerywalk/entry/PlatformDependencies.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/PlatformDependencies.kt
@@ -49,6 +49,7 @@
         areKeysConfirmed = configurationSync.freshness::isConfirmed,
         admission = rateShares.admission,
         endpointChooser = PrefixEndpointChooser(),
+        rateShare = rateShares::weight,
         buildServices = { summaries ->
             listOf(
                 PeerService(configurationSync, withdrawals, rateShares).definition(),
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/CacheEventSubscriptionsTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/CacheEventSubscriptionsTest.kt
@@ -14,8 +14,6 @@
 import org.junit.jupiter.api.AfterEach
 import java.io.OutputStream
 import java.io.PrintStream
-import java.util.concurrent.TimeUnit
-import java.util.concurrent.locks.LockSupport
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -50,7 +48,7 @@
             .partition { CacheReaders.isReader(testSettings().instance, "i-$it", listOf(PEER)) }
         assertTrue(own.isNotEmpty() && reportedByPeer.isNotEmpty())
         subscriptions.start()
-        await {
+        awaitUntil {
             reportedByPeer.forEach { subscriptions.applyReport("i-$it", CacheEvents(1, 5, 5, emptyList())) }
             replicas.all { it.receivedRequests.isNotEmpty() } &&
                 own.all { replicas[it].receivedRequests.size >= 10 }
@@ -69,14 +67,6 @@
         models = emptyMap(),
     )
 
-    private fun await(condition: () -> Boolean) {
-        repeat(600) {
-            if (condition()) return
-            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(50))
-        }
-        error("not observed within 30 s")
-    }
-
     private companion object {
         const val PEER = "peer"
     }
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/EndlessResponseTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/EndlessResponseTest.kt
@@ -1,18 +1,15 @@
 package org.celerywalk.gateway
 
-import okhttp3.OkHttpClient
 import okhttp3.Request
 import okhttp3.RequestBody.Companion.toRequestBody
 import okhttp3.Response
 import org.junit.jupiter.api.AfterEach
 import java.io.IOException
-import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
-import java.util.concurrent.locks.LockSupport
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFailsWith
@@ -49,9 +46,7 @@
     }
 
     private val store = StoreStandIn()
-    private val ports = List(4) { ServerSocket(0).use { it.localPort } }
-    private val client =
-        OkHttpClient.Builder().retryOnConnectionFailure(false).readTimeout(30, TimeUnit.SECONDS).build()
+    private val gateway = TestGateway(store)
     private var endpoint: EndlessEndpoint? = null
 
     @AfterEach
@@ -142,33 +137,15 @@
         store.put("op", "config", CONFIGURATION)
         val registration = """{"backend":"s","address":"${endless.address}","zone":"dc","slots":64,"state":"ready"}"""
         store.put("servers", "i-0", registration)
-        val settings = testSettings().copy(
-            callers = SocketAddress("127.0.0.1", ports[0]),
-            readiness = SocketAddress("127.0.0.1", ports[1]),
-            metrics = SocketAddress("127.0.0.1", ports[2]),
-            peerPort = ports[3],
-            store = checkNotNull(SocketAddress.parse(store.address)),
-        )
-        GatewayDaemon(settings).start()
-        await { runCatching { get("http://127.0.0.1:${ports[1]}/") }.getOrNull() == OK }
+        gateway.start()
         return endless
     }
 
-    private fun call(route: String): Response = client.newCall(
-        Request.Builder().url("http://127.0.0.1:${ports[0]}/$route/x").header("X-Attempt-Id", "a-${System.nanoTime()}")
+    private fun call(route: String): Response = gateway.client.newCall(
+        Request.Builder().url("${gateway.url}/$route/x").header("X-Attempt-Id", "a-${System.nanoTime()}")
             .header("X-Deadline-Ms", "20000").post("swap".toRequestBody()).build(),
     ).execute()
 
-    private fun get(url: String) = client.newCall(Request.Builder().url(url).build()).execute().use { it.code }
-
-    private fun await(condition: () -> Boolean) {
-        repeat(600) {
-            if (condition()) return
-            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(50))
-        }
-        error("not observed within 30 s")
-    }
-
     private companion object {
         const val OK = 200
         const val PART_BYTES = 4_096
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/GatewayTest.kt
@@ -106,7 +106,7 @@
         assertEquals(500 to "e", response.code to response.header("X-Response-Signature"))
         endpoint(EndpointStandIn.responseScript(200, "done"))
         register()
-        await { call("/safe/x").use { it.code } == 200 }
+        awaitUntil { call("/safe/x").use { it.code } == 200 }
     }
 
     @Test
@@ -186,7 +186,7 @@
         start()
         val call = client.newCall(request("/once/x", "swap"))
         Thread { runCatching { call.execute() } }.apply { isDaemon = true }.start()
-        await { endpoint.receivedRequests.isNotEmpty() }
+        awaitUntil { endpoint.receivedRequests.isNotEmpty() }
         call.cancel()
         assertTrue(endpoint.disconnected.await(500, TimeUnit.MILLISECONDS), "the call is still open after 500 ms")
     }
@@ -199,7 +199,7 @@
         assertEquals(401, call("/once/x", body = "", "Authorization" to "Bearer unknown").use { it.code })
         assertEquals(404, call("/none/x", body = "").use { it.code })
         store.put("op", "config", configuration(version = 2, key = "k-2"))
-        await { call("/once/x", body = "").use { it.code } == 401 }
+        awaitUntil { call("/once/x", body = "").use { it.code } == 401 }
         assertEquals(200, call("/once/x", body = "", "Authorization" to "Bearer k-2").use { it.code })
     }
 
@@ -208,7 +208,7 @@
         endpoint(EndpointStandIn.responseScript(200, "done"))
         store.isUp = false
         launch()
-        await { runCatching { Socket("127.0.0.1", ports[0]).close() }.isSuccess }
+        awaitUntil { runCatching { Socket("127.0.0.1", ports[0]).close() }.isSuccess }
         val responseBody = CompletableFuture.supplyAsync { call("/once/x", body = "swap").body.string() }
         store.isUp = true
         assertEquals("done", responseBody.get(10, TimeUnit.SECONDS))
@@ -218,10 +218,10 @@
     fun `requests are refused without delay while the store stays unavailable after the start`() {
         store.isUp = false
         launch()
-        await { runCatching { Socket("127.0.0.1", ports[0]).close() }.isSuccess }
-        await { status("/once/x", body = "swap") == 503 }
+        awaitUntil { runCatching { Socket("127.0.0.1", ports[0]).close() }.isSuccess }
+        awaitUntil { status("/once/x", body = "swap") == 503 }
         val unavailableSince = System.nanoTime()
-        await { status("/once/x", body = "swap") == 503 && System.nanoTime() - unavailableSince > 2_000_000_000 }
+        awaitUntil { status("/once/x", body = "swap") == 503 && System.nanoTime() - unavailableSince > 2_000_000_000 }
         val sentAt = System.nanoTime()
         assertEquals(503, status("/once/x", body = "swap"))
         assertTrue(System.nanoTime() - sentAt < 500_000_000, "the refusal took 500 ms or more")
@@ -232,9 +232,9 @@
         endpoint(EndpointStandIn.responseScript(200, "done"))
         start()
         store.isUp = false
-        await { call("/once/x", body = "").use { it.code } == 503 }
+        awaitUntil { call("/once/x", body = "").use { it.code } == 503 }
         store.isUp = true
-        await { call("/once/x", body = "").use { it.code } == 200 }
+        awaitUntil { call("/once/x", body = "").use { it.code } == 200 }
     }
 
     private fun endpoint(script: (ReceivedRequest, Socket) -> Unit) =
@@ -242,7 +242,7 @@
 
     private fun start() {
         launch()
-        await { runCatching { get("http://127.0.0.1:${ports[1]}/v1/readiness").code }.getOrNull() == 200 }
+        awaitUntil { runCatching { get("http://127.0.0.1:${ports[1]}/v1/readiness").code }.getOrNull() == 200 }
     }
 
     private fun launch(callersSocket: ServerSocketChannel? = null) {
@@ -300,12 +300,4 @@
     }
 
     private fun get(url: String) = client.newCall(Request.Builder().url(url).build()).execute()
-
-    private fun await(condition: () -> Boolean) {
-        repeat(600) {
-            if (condition()) return
-            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(50))
-        }
-        error("not observed within 30 s")
-    }
 }
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/StoreSyncTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/StoreSyncTest.kt
@@ -104,13 +104,8 @@
         store.put("op", "config", """{"version":$version,"routes":[${routeTexts.joinToString(",")}],"services":[]}""")
     }
 
-    private fun await(condition: () -> Boolean) {
-        repeat(1_200) {
-            if (condition()) return
-            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(25))
-        }
-        error("not observed within 30 s: version ${version()}, confirmed ${state.confirmation.age()} ago")
-    }
+    private fun await(condition: () -> Boolean) =
+        awaitUntil({ "version ${version()}, confirmed ${state.confirmation.age()} ago" }, condition)
 
     private companion object {
         // Key withdrawal bound less the margin of Admission.
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/SupersededWeightsTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/SupersededWeightsTest.kt
@@ -1,10 +1,8 @@
 package org.celerywalk.gateway
 
-import okhttp3.OkHttpClient
 import okhttp3.Request
 import okhttp3.RequestBody.Companion.toRequestBody
 import org.junit.jupiter.api.AfterEach
-import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
@@ -23,9 +21,8 @@
  */
 class SupersededWeightsTest {
     private val store = StoreStandIn()
-    private val ports = List(4) { ServerSocket(0).use { it.localPort } }
-    private val client =
-        OkHttpClient.Builder().retryOnConnectionFailure(false).readTimeout(30, TimeUnit.SECONDS).build()
+    private val gateway =
+        TestGateway(store) { copy(keyWithdrawal = 5.seconds, weightsDeadline = WEIGHTS_DEADLINE) }
     private val received = CompletableFuture<ComparableTimeMark>()
     private val closed = CompletableFuture<ComparableTimeMark>()
     private val replica = EndpointStandIn { request, socket ->
@@ -61,8 +58,8 @@
         closed.complete(TimeSource.Monotonic.markNow())
     }
 
-    private fun call(): Int = client.newCall(
-        Request.Builder().url("http://127.0.0.1:${ports[0]}/chat/x").header("X-Attempt-Id", "a-1")
+    private fun call(): Int = gateway.client.newCall(
+        Request.Builder().url("${gateway.url}/chat/x").header("X-Attempt-Id", "a-1")
             .header("X-Model", "m").header("X-Token-Usage", "100,10").header("X-Prompt-Prefix", "a1:100")
             .header("X-Deadline-Ms", "15000").post("prompt".toRequestBody()).build(),
     ).execute().use { it.code }
@@ -73,26 +70,7 @@
         val registration = """{"backend":"llm","address":"${replica.address}","zone":"dc","slots":64,"state":"ready",
             "models":[{"name":"m","version":1}]}"""
         store.put("servers", "i-0", registration)
-        val settings = testSettings().let { base ->
-            base.copy(
-                callers = SocketAddress("127.0.0.1", ports[0]),
-                readiness = SocketAddress("127.0.0.1", ports[1]),
-                metrics = SocketAddress("127.0.0.1", ports[2]),
-                peerPort = ports[3],
-                store = checkNotNull(SocketAddress.parse(store.address)),
-                bounds = base.bounds.copy(keyWithdrawal = 5.seconds, weightsDeadline = WEIGHTS_DEADLINE),
-            )
-        }
-        GatewayDaemon(settings).start()
-        val url = "http://127.0.0.1:${ports[1]}/"
-        repeat(600) {
-            val isReady = runCatching {
-                client.newCall(Request.Builder().url(url).build()).execute().use { it.code }
-            }.getOrNull() == 200
-            if (isReady) return
-            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(50))
-        }
-        error("not ready within 30 s")
+        gateway.start()
     }
 
     private companion object {
