--- a/gateway/src/main/kotlin/org/celerywalk/gateway/StoreSync.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/StoreSync.kt
@@ -1,8 +1,6 @@
 package org.celerywalk.gateway
 
-import org.celerywalk.platform.wire.CallError
 import org.celerywalk.platform.wire.PlatformTable
-import org.celerywalk.platform.wire.StoredRow
 import kotlin.time.Duration
 
 /** Keeps the configuration, the announced weights and the registered endpoints in sync with the platform's store. */
@@ -28,22 +26,3 @@
         registry.close()
     }
 }
-
-/** Logs when the platform's store is lost and when it is back. */
-internal class StoreReachability(private val state: FleetState, private val log: EventLog) {
-    @Volatile
-    private var isReachable: Boolean? = null
-
-    fun recordFailure(error: CallError) {
-        if (isReachable != false) log.write("store_lost", "step" to error.step, "cause" to error.message)
-        isReachable = false
-    }
-
-    fun recordAnswer() {
-        if (isReachable == false) log.write("store_back", "confirmation_age" to state.confirmation.age())
-        isReachable = true
-    }
-}
-
-internal fun EventLog.writeUnreadable(row: StoredRow) =
-    write("row_unreadable", "table" to row.table, "key" to row.key, "row_version" to row.version)
