--- a/acceptance/src/test/kotlin/org/celerywalk/acceptance/RestartTest.kt
+++ b/acceptance/src/test/kotlin/org/celerywalk/acceptance/RestartTest.kt
@@ -13,8 +13,8 @@
 
     @Test
     fun `an entry restarted after a crash serves requests while the table does not respond`() {
-        // Both entries hold a part of the rates first, so that the other entry can lend some to the restarted entry. For
-        // its first seconds an entry may hold all of them and the other may serve from loans only.
+        // Both entries hold a part of the rates first, so that the other entry can lend some to the restarted entry.
+        // For its first seconds an entry may hold all of them, and the other may serve from loans only.
         listOf(0, 1).forEach { entry ->
             awaitCompletion(entry)
             waitUntil("entry $entry holds a part of the rates") {
