Limit the cache events of one message for all holders together

Found by reading the change: the limit was 100 events for each holder, so a gateway that reads many holders could build a message larger than a datagram. It would have been lost with the rest of its state (the next message makes up for that). Now 400 events go into a message; peers read the rest themselves. No test of its own: the case takes a fleet of few gateways and many replicas.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/CacheEventSubscriptions.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/CacheEventSubscriptions.kt
@@ -44,9 +44,20 @@
         subscriptions[holder]?.applyReport(events)
     }
 
-    /** Returns and removes the events that this process has read since the last call and that peers should apply. */
-    fun takeReports(): Map<String, CacheEvents> =
-        subscriptions.mapNotNull { (holder, subscription) -> subscription.takeReport()?.let { holder to it } }.toMap()
+    /**
+     * Returns and removes the events that this process has read since the last call and that peers should apply.
+     *
+     * What does not fit a message is left out; the peers notice the gap and read those events themselves.
+     */
+    fun takeReports(): Map<String, CacheEvents> {
+        var eventsLeft = MAX_REPORTED_EVENTS
+        return subscriptions.mapNotNull { (holder, subscription) ->
+            subscription.takeReport()?.takeIf { it.events.size <= eventsLeft }?.let {
+                eventsLeft -= it.events.size
+                holder to it
+            }
+        }.toMap()
+    }
 
     /** Returns the position in the events of each holder that this process reads, as events without content. */
     fun positions(): Map<String, CacheEvents> =
@@ -128,9 +139,7 @@
             if (events.hasGap) log.write("cache_events_gap", "holder" to holder, "since" to events.firstSequence)
             applyEvents(events)
             // Peers read the history of a holder themselves: it is too large for a message.
-            if (isReader && events.events.size <= MAX_REPORTED_EVENTS) {
-                unreportedEvents.updateAndGet { it?.followedBy(events)?.takeIf(::fitsMessage) ?: events }
-            }
+            if (isReader) unreportedEvents.updateAndGet { it?.followedBy(events)?.takeIf(::fitsMessage) ?: events }
         }
 
         private fun fitsMessage(events: CacheEvents) = events.events.size <= MAX_REPORTED_EVENTS
@@ -156,8 +165,8 @@
         // Readers report their positions about once a second.
         val MAX_REPORT_AGE = 3.seconds
 
-        // Events of one holder in one message: about 5 KB.
-        const val MAX_REPORTED_EVENTS = 100
+        // Events in one message, about 20 KB of the 60 KB that a message may have.
+        const val MAX_REPORTED_EVENTS = 400
 
         // After a failure, only about every fifth run polls the holder again.
         const val RUNS_PER_RETRY = 5
