Move past rows that operators remove

Found by reading the change: a removal did not advance the known version, so the feed answered each poll at once with the same removal, ten times a second.

Change: the version of a removal counts as known. Test: StoreSyncTest, a row that was removed is reported once. Without the change it fails: 28 calls in 3 s.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/OperatorsSync.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/OperatorsSync.kt
@@ -69,12 +69,12 @@
                 knownVersion = version.takeIf { error.status != PlatformTable.HISTORY_GONE }
                 if (knownVersion == null) readAll() else error.left().also { reachability.recordFailure(error) }
             },
-            { rows ->
-                val newestVersion = maxOf(version, rows.maxOfOrNull { it.version } ?: version)
-                if (rows.isNotEmpty()) {
-                    log.write("store_changed", "table" to OPERATORS_TABLE, "version" to newestVersion)
+            { changes ->
+                changes.newestVersion?.let {
+                    log.write("store_changed", "table" to OPERATORS_TABLE, "version" to it)
                 }
-                onRead(rows, newestVersion, confirmedAt = sentAt - MAX_FEED_LAG).right()
+                val newestVersion = maxOf(version, changes.newestVersion ?: version)
+                onRead(changes.rows, newestVersion, confirmedAt = sentAt - MAX_FEED_LAG).right()
             },
         )
     }
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/StoreStandIn.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/StoreStandIn.kt
@@ -12,7 +12,7 @@
 
 /** Stand-in of the platform's store, which serves the rows that a test puts into it. */
 internal class StoreStandIn : AutoCloseable {
-    private class Row(val value: String, val version: Long)
+    private class Row(val value: String?, val version: Long)
 
     private val lock = Object()
     private val rows = HashMap<Pair<String, String>, Row>()
@@ -29,6 +29,9 @@
     @Volatile
     var bytesPerSecond: Int? = null
 
+    /** Number of calls of the feed. */
+    val feedCalls = AtomicInteger()
+
     /** Number of times that each row was sent, by key. */
     val transfers = ConcurrentHashMap<String, AtomicInteger>()
 
@@ -45,6 +48,12 @@
         lock.notifyAll()
     }
 
+    /** Removes a row; the feed reports the removal. */
+    fun remove(table: String, key: String) = synchronized(lock) {
+        rows[table to key] = Row(null, ++newestVersion)
+        lock.notifyAll()
+    }
+
     /** Discards the history, so that the feed no longer knows the changes up to now. */
     fun forgetHistory() = synchronized(lock) { historyStart = ++newestVersion }
 
@@ -58,13 +67,14 @@
         exchange.requestBody.readAllBytes()
         val after = query["after"]?.toLong() ?: -1
         val isFeed = exchange.requestURI.path == "/v1/rows-feed"
+        if (isFeed) feedCalls.incrementAndGet()
         when {
             !isUp -> send(exchange, UNAVAILABLE, "")
             isFeed && synchronized(lock) { after < historyStart } -> send(exchange, HISTORY_GONE, "")
             else -> {
                 val table = query["table"].orEmpty()
                 if (isFeed) awaitRows(table, after, query.getValue("wait_ms").toLong())
-                send(exchange, OK, encode(table, after))
+                send(exchange, OK, encode(table, after, withRemoved = isFeed))
             }
         }
     }
@@ -78,11 +88,13 @@
         }
     }
 
-    private fun encode(table: String, after: Long): String = synchronized(lock) {
-        val tableRows = rows.filter { it.key.first == table && it.value.version > after }.map { (key, row) ->
+    private fun encode(table: String, after: Long, withRemoved: Boolean): String = synchronized(lock) {
+        val changedRows = rows.filter { it.key.first == table && it.value.version > after }
+        val tableRows = changedRows.filter { withRemoved || it.value.value != null }.map { (key, row) ->
             transfers.computeIfAbsent(key.second) { AtomicInteger() }.incrementAndGet()
-            val encodedValue = Base64.getEncoder().encodeToString(row.value.toByteArray())
-            """{"table":"$table","key":"${key.second}","value":"$encodedValue","row_version":${row.version}}"""
+            val content = row.value?.let { """"value":"${Base64.getEncoder().encodeToString(it.toByteArray())}"""" }
+                ?: """"removed":true"""
+            """{"table":"$table","key":"${key.second}",$content,"row_version":${row.version}}"""
         }
         """{"rows":[${tableRows.joinToString(",")}],"has_more":false,"row_version":$newestVersion,"now_ms":1}"""
     }
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/StoreSyncTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/StoreSyncTest.kt
@@ -71,6 +71,23 @@
         assertTrue(state.confirmation.isWithin(CONFIRMATION_LIMIT), "${state.confirmation.age()}")
     }
 
+    /** Guards against a poll that returns at once, again and again, with the same removal. */
+    @Test
+    fun `a row that was removed is reported once`() {
+        putConfiguration(version = 1, routes = 3)
+        store.put("op", "version/m", """{"model":"m","version":1}""")
+        sync.start()
+        await { version() == 1L }
+        store.remove("op", "version/m")
+        val callsBefore = store.feedCalls.get()
+        val observedUntil = TimeSource.Monotonic.markNow() + 3.seconds
+        await { observedUntil.hasPassedNow() }
+        // A poll waits for a second if nothing has changed.
+        assertTrue(store.feedCalls.get() - callsBefore <= 6, "${store.feedCalls.get() - callsBefore} calls in 3 s")
+        putConfiguration(version = 2, routes = 3)
+        await { version() == 2L }
+    }
+
     @Test
     fun `a change that the store has discarded from its history is adopted`() {
         putConfiguration(version = 1, routes = 3)
