Send streams in chunks to every caller that can read them

Cause: Jetty sends no chunks where the connection is closed after the response: the caller asks for it, speaks HTTP/1.0, or the gateway stops and closes each connection itself. The end of the connection is then the end of the body, and the abort of a broken-off stream, or the end of the process, is an ordinary end of the connection. A stream with a length was relayed with it, so that one which ends within an event was complete for its caller.

Change: a stream is always sent without its length, in chunks to callers of HTTP/1.1. For HTTP/1.0 the connection resets on close (SO_LINGER 0) until the response is complete, so that an abort, an exit and a kill of the process all reset it.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/CallerExchange.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/CallerExchange.kt
@@ -2,6 +2,7 @@
 
 import okhttp3.Call
 import org.celerywalk.platform.wire.CallerRequest
+import org.eclipse.jetty.http.HttpVersion
 import org.eclipse.jetty.io.Content
 import org.eclipse.jetty.server.Request
 import org.eclipse.jetty.server.Response
@@ -38,7 +39,11 @@
     val target: String = request.httpURI.pathQuery.orEmpty()
     val path: String = request.httpURI.path.orEmpty()
     val host: String = request.headers["Host"].orEmpty()
-    val response = CallerResponse(jettyResponse, callback, endPoint, isStopping) { cancel(CancelReason.CALLER_LEFT) }
+    val response = CallerResponse(
+        jettyResponse,
+        callback,
+        CallerConnection(endPoint, request.connectionMetaData.httpVersion, isStopping),
+    ) { cancel(CancelReason.CALLER_LEFT) }
 
     /** Header fields in order, including repeated ones. */
     val headers: List<Pair<String, String>> by lazy { request.headers.map { it.name to it.value.orEmpty() } }
@@ -82,12 +87,25 @@
     }
 }
 
+/**
+ * Connection that a response is written to.
+ *
+ * @property closesAfterResponse true if the gateway closes the connection after the response.
+ */
+internal class CallerConnection(
+    val endPoint: DisconnectDetectingEndPoint,
+    private val version: HttpVersion,
+    val closesAfterResponse: Boolean,
+) {
+    /** True if the caller can receive a body in chunks. */
+    val supportsChunks: Boolean get() = version >= HttpVersion.HTTP_1_1
+}
+
 /** Writes the response to one request of a caller. */
 internal class CallerResponse(
     private val response: Response,
     private val callback: Callback,
-    private val endPoint: DisconnectDetectingEndPoint,
-    private val isStopping: Boolean,
+    private val connection: CallerConnection,
     private val onDisconnect: () -> Unit,
 ) {
     private val output: OutputStream by lazy { Content.Sink.asOutputStream(response) }
@@ -111,11 +129,22 @@
         complete()
     }
 
-    /** Starts a response of an endpoint; [length] in bytes is null if it is not known in advance. */
+    /**
+     * Starts a response of an endpoint; [length] in bytes is null if it is not known in advance.
+     *
+     * Without a length, the end of the body must be distinguishable from the end of the connection, which also ends if
+     * the endpoint or this process fails. The body is therefore sent in chunks, or for a caller that does not support
+     * them, over a connection that is reset unless [complete] is called.
+     */
     fun start(status: Int, fields: List<Pair<String, String>>, length: Long?) {
         commit(status)
         fields.forEach { (name, value) -> response.headers.add(name, value) }
-        length?.let { response.headers.put("Content-Length", it) }
+        when {
+            length != null -> response.headers.put("Content-Length", length)
+            // Jetty otherwise sends no chunks if the connection is closed after the response.
+            connection.supportsChunks -> response.headers.put("Transfer-Encoding", "chunked")
+            else -> connection.endPoint.resetsOnClose = true
+        }
     }
 
     /** Writes the first [count] bytes of [bytes] to the body; throws [CallerDisconnectedException] if that fails. */
@@ -123,13 +152,16 @@
 
     /** Ends a complete response. */
     fun complete() {
-        detectDisconnect { output.close() }
+        detectDisconnect {
+            connection.endPoint.resetsOnClose = false
+            output.close()
+        }
         callback.succeeded()
     }
 
     /** Closes the connection, so that the caller can't take an incomplete response for a complete one. */
     fun abort() {
-        endPoint.close()
+        connection.endPoint.close()
         callback.failed(IOException("the response is incomplete"))
     }
 
@@ -146,7 +178,7 @@
         isCommitted = true
         this.status = status
         response.status = status
-        if (isStopping) response.headers.put("Connection", "close")
+        if (connection.closesAfterResponse) response.headers.put("Connection", "close")
     }
 }
 
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/DisconnectDetectingEndPoint.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/DisconnectDetectingEndPoint.kt
@@ -9,6 +9,7 @@
 import org.eclipse.jetty.util.BufferUtil
 import org.eclipse.jetty.util.Callback
 import org.eclipse.jetty.util.thread.Scheduler
+import java.net.StandardSocketOptions
 import java.nio.ByteBuffer
 import java.nio.channels.SelectionKey
 import java.nio.channels.SocketChannel
@@ -50,6 +51,14 @@
     private var jettyCallback: Callback? = null
     private var onDisconnect: (() -> Unit)? = null
 
+    /** True if the connection is reset when it is closed, also by the end of this process. */
+    var resetsOnClose: Boolean = false
+        set(value) {
+            if (value == field) return
+            field = value
+            (channel as SocketChannel).setOption(StandardSocketOptions.SO_LINGER, if (value) 0 else NO_LINGER)
+        }
+
     /**
      * Calls [onDisconnect] when the caller closes the connection, or at once if it is closed already.
      *
@@ -152,5 +161,8 @@
 
     private companion object {
         const val READ_AHEAD_BYTES = 8 * 1024
+
+        // Value of SO_LINGER that lets a close send the remaining bytes.
+        const val NO_LINGER = -1
     }
 }
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/ResponseRelay.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/ResponseRelay.kt
@@ -93,9 +93,9 @@
         return AttemptOutcome.Completed
     }
 
+    // Relayed without its length, since a stream of that length may still end within an event.
     private fun startResponse(response: Response) {
-        val length = response.header("Content-Length")?.toLongOrNull().takeIf { !route.isResumable }
-        exchange.response.start(response.code, response.fields(), length)
+        exchange.response.start(response.code, response.fields(), null)
     }
 
     // A resumable stream is relayed in whole events, so that another endpoint can continue it after the last one.
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/TestGateway.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/TestGateway.kt
@@ -36,6 +36,10 @@
     private val bounds: GatewayBounds.() -> GatewayBounds = { this },
 ) {
     private val ports = List(4) { ServerSocket(0).use { it.localPort } }
+    private lateinit var daemon: GatewayDaemon
+
+    /** Port for callers. */
+    val port: Int get() = ports[0]
 
     /** Client that sends each request once and waits for up to 30 s. */
     val client: OkHttpClient =
@@ -55,8 +59,16 @@
             store = checkNotNull(SocketAddress.parse(store.address)),
             bounds = base.bounds.bounds(),
         )
-        GatewayDaemon(settings).start()
+        daemon = GatewayDaemon(settings).apply { start() }
+        awaitUntil(condition = ::isReady)
+    }
+
+    /** Stops the gateway as its process does after a signal, and returns when it has stopped. */
+    fun stop() = daemon.stop()
+
+    /** Returns true if the gateway reports that it can serve callers. */
+    fun isReady(): Boolean {
         val request = Request.Builder().url("http://127.0.0.1:${ports[1]}/").build()
-        awaitUntil { runCatching { client.newCall(request).execute().use { it.code } }.getOrNull() == OK }
+        return runCatching { client.newCall(request).execute().use { it.code } }.getOrNull() == OK
     }
 }
