Take a stream that ends before its first event for broken off

Cause: the end of a stream was judged by the bytes of a partial event only. Without any byte there is none, so the end of the connection counted as the end of the stream; the head was relayed at the first read, also at one that found the end.

Change: a stream without framing is complete only after an event, and the response starts with the first bytes that are relayed. A stream that breaks off before them gets an error, or goes to another endpoint if it may. An empty stream that its framing completes stays complete (test).

Not to be told apart: a stream without framing whose connection ends in an orderly way after an event. PROTOCOL.md has such a stream as complete.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/ResponseRelay.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/ResponseRelay.kt
@@ -69,6 +69,7 @@
     private fun relayStream(response: Response, onBodyRead: () -> Unit): AttemptOutcome {
         val source = response.body.source()
         val buffer = ByteArray(BUFFER_BYTES)
+        var hasEvents = false
         boundaries.discardPartialEvent()
         do {
             val count = try {
@@ -76,38 +77,50 @@
             } catch (e: IOException) {
                 return AttemptOutcome.ResponseLost("stream: ${e.message}")
             }
-            onBodyRead()
-            if (!exchange.response.isCommitted) startResponse(response)
-            if (count > 0) relayChunk(buffer, count)
+            if (count > 0) {
+                onBodyRead()
+                hasEvents = relayChunk(response, buffer, count) || hasEvents
+            }
         } while (count >= 0 && boundaries.partialEventBytes <= MAX_EVENT_BYTES)
         return when {
             boundaries.partialEventBytes > MAX_EVENT_BYTES ->
                 AttemptOutcome.ResponseLost("stream: an event has more than $MAX_EVENT_BYTES bytes")
-            boundaries.endsAtEventBoundary -> completeStream()
-            else -> AttemptOutcome.ResponseLost("stream ends within an event")
+            !boundaries.endsAtEventBoundary -> AttemptOutcome.ResponseLost("stream ends within an event")
+            !hasEvents && !response.hasFramedBody() ->
+                AttemptOutcome.ResponseLost("stream without length ends before its first event")
+            else -> completeStream(response)
         }
     }
 
-    private fun completeStream(): AttemptOutcome {
+    private fun completeStream(response: Response): AttemptOutcome {
+        startIfNeeded(response)
         exchange.response.complete()
         return AttemptOutcome.Completed
     }
 
     // Relayed without its length, since a stream of that length may still end within an event.
-    private fun startResponse(response: Response) {
-        exchange.response.start(response.code, response.fields(), null)
+    private fun startIfNeeded(response: Response) {
+        if (!exchange.response.isCommitted) exchange.response.start(response.code, response.fields(), null)
     }
 
     // A resumable stream is relayed in whole events, so that another endpoint can continue it after the last one.
-    private fun relayChunk(buffer: ByteArray, count: Int) {
+    // Returns true if the bytes complete an event.
+    private fun relayChunk(response: Response, buffer: ByteArray, count: Int): Boolean {
         val completeEvents = boundaries.add(String(buffer, 0, count, Charsets.ISO_8859_1))
         if (!route.isResumable) {
+            startIfNeeded(response)
             exchange.response.write(buffer, count)
         } else if (completeEvents.isNotEmpty()) {
+            startIfNeeded(response)
             exchange.response.write(completeEvents.toByteArray(Charsets.ISO_8859_1))
         }
+        return completeEvents.isNotEmpty()
     }
 
+    // True if the end of the body can be told from the end of the connection.
+    private fun Response.hasFramedBody(): Boolean =
+        body.contentLength() >= 0 || header("Transfer-Encoding").equals("chunked", ignoreCase = true)
+
     private fun Response.fields(): List<Pair<String, String>> =
         headers.filterNot { (name, _) -> EndpointResponseHeaders.isHopByHopField(name) }
 
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/BrokenOffStreamTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/BrokenOffStreamTest.kt
@@ -35,6 +35,21 @@
     @Test
     fun `a stream without length that ends within an event`() = assertBrokenOff("\r\n${EVENT}id: 2\ndata")
 
+    @Test
+    fun `a stream without length that ends before its first event`() = assertBrokenOff("\r\n")
+
+    @Test
+    fun `an empty stream that its framing completes is complete`() {
+        var response = ""
+        start { response }
+        listOf("Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "Content-Length: 0\r\n\r\n").forEach {
+            response = it
+            forEachCaller { description, received ->
+                assertEquals(true, received.isSuccess && received.isComplete, "$description\n$it\n$received")
+            }
+        }
+    }
+
     @Test
     fun `a stream that breaks off while the gateway stops`() {
         start("Transfer-Encoding: chunked\r\n\r\n$CHUNKED_EVENT")
@@ -78,7 +93,8 @@
 
     private fun start(fieldsAndBody: () -> String) {
         val standIn = EndpointStandIn { request, socket ->
-            val head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: ${request.fields["x-attempt-id"]}\r\nX-Response-Signature: s\r\n"
+            val attemptId = request.fields["x-attempt-id"]
+            val head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: $attemptId\r\nX-Response-Signature: s\r\n"
             socket.getOutputStream().write((head + fieldsAndBody()).toByteArray())
         }.also { endpoint = it }
         store.put("op", "config", CONFIGURATION)
