--- a/gateway/src/main/kotlin/org/celerywalk/gateway/ResponseRelay.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/ResponseRelay.kt
@@ -117,13 +117,6 @@
         return completeEvents.isNotEmpty()
     }
 
-    // True if the end of the body can be told from the end of the connection.
-    private fun Response.hasFramedBody(): Boolean =
-        body.contentLength() >= 0 || header("Transfer-Encoding").equals("chunked", ignoreCase = true)
-
-    private fun Response.fields(): List<Pair<String, String>> =
-        headers.filterNot { (name, _) -> EndpointResponseHeaders.isHopByHopField(name) }
-
     private companion object {
         const val OK = 200
         const val MIN_SERVER_ERROR_STATUS = 500
@@ -131,3 +124,10 @@
         const val MAX_EVENT_BYTES = 256 * 1024
     }
 }
+
+private fun Response.fields(): List<Pair<String, String>> =
+    headers.filterNot { (name, _) -> EndpointResponseHeaders.isHopByHopField(name) }
+
+// True if the end of the body can be told from the end of the connection.
+private fun Response.hasFramedBody(): Boolean =
+    body.contentLength() >= 0 || header("Transfer-Encoding").equals("chunked", ignoreCase = true)
