Recognise all line ends of server-sent events

Callers of an endpoint whose lines end with CR LF, or CR, got a complete stream without its end, as if it were broken off; a stream that may be resumed was sent nothing at all and ran at a second endpoint.

Cause: the splitter searched for LF LF only, so that such a stream had no complete event and ended within one.

Evidence, before: ServerSentEventSplitterTest, 1 of 4 fails, each kind of line end completes an event, however the bytes arrive: parts of 1

Change: a blank line after any line end completes an event. Where lines end with CR LF, a blank line is complete only with its LF, so that a stream which is cut between the two counts as broken off. Each byte is looked at once.

After: ServerSentEventSplitterTest 4 of 4, BrokenOffStreamTest, GatewayTest and EndlessResponseTest pass.

--- a/library/src/main/kotlin/org/celerywalk/stream/ServerSentEventSplitter.kt
+++ b/library/src/main/kotlin/org/celerywalk/stream/ServerSentEventSplitter.kt
@@ -3,11 +3,15 @@
 /**
  * Splits the bytes of a server-sent event stream into complete events and tracks their ids.
  *
- * An endpoint may fail in the middle of an event; a stream that resumes at another endpoint must not contain a partial
- * event. Not thread-safe.
+ * A blank line completes an event; lines end with LF, CR or CR LF. An endpoint may fail in the middle of an event; a
+ * stream that resumes at another endpoint must not contain a partial event. Not thread-safe.
  */
 public class ServerSentEventSplitter {
     private val pending = StringBuilder()
+    private var isLineEmpty = true
+    private var isBlankLine = false
+    private var isAfterCarriageReturn = false
+    private var usesTwoCharLineEnds = false
 
     /** Id of the last complete event that has one, or null if there was none. */
     public var lastEventId: String? = null
@@ -21,25 +25,42 @@
 
     /** Adds [text] (one char per byte) and returns the events that it completes, or an empty string. */
     public fun add(text: String): String {
-        // The terminator can only end in the new text; a search of everything would take long for a long event.
-        val searchStart = (pending.length - EVENT_TERMINATOR.length + 1).coerceAtLeast(0)
+        val firstNewIndex = pending.length
         pending.append(text)
-        val end = searchStart + pending.substring(searchStart).lastIndexOf(EVENT_TERMINATOR)
-        if (end < searchStart) return ""
-        val completeEvents = pending.substring(0, end + EVENT_TERMINATOR.length)
-        pending.delete(0, end + EVENT_TERMINATOR.length)
+        var end = 0
+        for (index in firstNewIndex until pending.length) {
+            if (completesEvent(pending[index])) end = index + 1
+        }
+        if (end == 0) return ""
+        val completeEvents = pending.substring(0, end)
+        pending.delete(0, end)
         val id = completeEvents.lineSequence().lastOrNull { it.startsWith(ID_FIELD) }
         if (id != null) lastEventId = id.removePrefix(ID_FIELD).trim()
         return completeEvents
     }
 
+    private fun completesEvent(char: Char): Boolean {
+        val isLineEnd = char == LF || char == CR
+        val isSecondOfLineEnd = char == LF && isAfterCarriageReturn
+        if (isSecondOfLineEnd) usesTwoCharLineEnds = true else isBlankLine = isLineEnd && isLineEmpty
+        isAfterCarriageReturn = char == CR
+        isLineEmpty = isLineEnd
+        // A stream whose lines end with CR LF may be broken off between the two.
+        return isBlankLine && !(isAfterCarriageReturn && usesTwoCharLineEnds)
+    }
+
     /** Discards the bytes of a partial event. */
     public fun discardPartialEvent() {
         pending.clear()
+        isLineEmpty = true
+        isBlankLine = false
+        isAfterCarriageReturn = false
+        usesTwoCharLineEnds = false
     }
 
     private companion object {
-        const val EVENT_TERMINATOR = "\n\n"
+        const val LF = '\n'
+        const val CR = '\r'
         const val ID_FIELD = "id:"
     }
 }
--- a/library/src/test/kotlin/org/celerywalk/stream/ServerSentEventSplitterTest.kt
+++ b/library/src/test/kotlin/org/celerywalk/stream/ServerSentEventSplitterTest.kt
@@ -9,6 +9,8 @@
 import io.kotest.property.checkAll
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
 
 /** Guards against a partial event in a stream that fails in the middle of an event and resumes at another endpoint. */
 @OptIn(ExperimentalKotest::class)
@@ -42,4 +44,31 @@
         assertEquals("id: 2\ndata: b\n\n", boundaries.add("id: 2\ndata: b\n\n"))
         assertEquals("2", boundaries.lastEventId)
     }
+
+    // Guards against complete streams that count as broken off because of the line ends that their endpoint uses.
+    @Test
+    fun `each kind of line end completes an event, however the bytes arrive`() {
+        listOf("\n", "\r\n", "\r").forEach { lineEnd ->
+            val events = (1..3).map { "id: $it${lineEnd}data: word $it$lineEnd$lineEnd" }
+            val stream = events.joinToString("")
+            (1..stream.length).forEach { size ->
+                val boundaries = ServerSentEventSplitter()
+                val forwarded = stream.chunked(size).joinToString("") { boundaries.add(it) }
+                assertEquals(stream to "3", forwarded to boundaries.lastEventId, "parts of $size, $lineEnd")
+                assertTrue(boundaries.endsAtEventBoundary, "parts of $size")
+            }
+        }
+    }
+
+    @Test
+    fun `a stream that is cut anywhere but after a blank line ends within an event`() {
+        listOf("\n", "\r\n", "\r").forEach { lineEnd ->
+            val event = "id: 1${lineEnd}data: a$lineEnd$lineEnd"
+            (1 until event.length).forEach { size ->
+                val boundaries = ServerSentEventSplitter()
+                assertEquals("", boundaries.add(event.take(size)))
+                assertFalse(boundaries.endsAtEventBoundary, "cut after $size of ${event.length} bytes")
+            }
+        }
+    }
 }
