Name the choice of a responsible instance for any duty

CacheReaders assigns caches to instances by rendezvous hashing. The trial of a quarantined prompt part needs the same choice; the function is renamed and otherwise unchanged.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/CacheEventSubscriptions.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/CacheEventSubscriptions.kt
@@ -3,7 +3,7 @@
 import org.celerywalk.cache.CacheEventCursor
 import org.celerywalk.cache.CacheEvents
 import org.celerywalk.platform.wire.ReplicaCalls
-import org.celerywalk.routing.CacheReaders
+import org.celerywalk.routing.ResponsibleInstance
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.time.Duration
@@ -80,7 +80,7 @@
         }
         val peers = reachablePeers()
         subscriptions.forEach { (holder, subscription) ->
-            subscription.isReader = CacheReaders.isReader(state.settings.instance, holder, peers)
+            subscription.isReader = ResponsibleInstance.isResponsible(state.settings.instance, holder, peers)
         }
     }
 
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/CacheEventSubscriptionsTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/CacheEventSubscriptionsTest.kt
@@ -10,7 +10,7 @@
 import org.celerywalk.instance.SuspendAwareTimeSource
 import org.celerywalk.platform.wire.PlatformCalls
 import org.celerywalk.platform.wire.ReplicaCalls
-import org.celerywalk.routing.CacheReaders
+import org.celerywalk.routing.ResponsibleInstance
 import org.junit.jupiter.api.AfterEach
 import java.io.OutputStream
 import java.io.PrintStream
@@ -45,7 +45,7 @@
         state.adopt(FleetConfiguration(1, emptyList(), mapOf("llm" to service), null, CallerLimits(1, 1)))
         state.directory.update(replicas.mapIndexed { index, replica -> endpoint("i-$index", replica.address) })
         val (own, reportedByPeer) = replicas.indices
-            .partition { CacheReaders.isReader(testSettings().instance, "i-$it", listOf(PEER)) }
+            .partition { ResponsibleInstance.isResponsible(testSettings().instance, "i-$it", listOf(PEER)) }
         assertTrue(own.isNotEmpty() && reportedByPeer.isNotEmpty())
         subscriptions.start()
         awaitUntil {
--- a/library/src/test/kotlin/org/celerywalk/routing/CacheReadersTest.kt
+++ b/library/src/test/kotlin/org/celerywalk/routing/ResponsibleInstanceTest.kt
@@ -5,7 +5,7 @@
 import kotlin.test.assertTrue
 
 /** Guards against calls to replicas whose number grows with the product of instances and replicas. */
-class CacheReadersTest {
+class ResponsibleInstanceTest {
     private val holders = List(72) { "i-$it" }
 
     @Test
@@ -13,7 +13,7 @@
         listOf(1, 2, 5, 29, 360).forEach { count ->
             val instances = List(count) { "edge-$it" }
             holders.forEach { holder ->
-                val readers = instances.count { CacheReaders.isReader(it, holder, instances - it) }
+                val readers = instances.count { ResponsibleInstance.isResponsible(it, holder, instances - it) }
                 assertEquals(1, readers, "$count instances")
             }
         }
@@ -21,13 +21,15 @@
 
     @Test
     fun `a single instance reads all caches`() {
-        assertTrue(holders.all { CacheReaders.isReader("edge-1", it, emptyList()) })
+        assertTrue(holders.all { ResponsibleInstance.isResponsible("edge-1", it, emptyList()) })
     }
 
     @Test
     fun `no instance reads much more than its part`() {
         val instances = List(29) { "edge-$it" }
-        val mostCaches = instances.maxOf { own -> holders.count { CacheReaders.isReader(own, it, instances - own) } }
+        val mostCaches = instances.maxOf { own ->
+            holders.count { ResponsibleInstance.isResponsible(own, it, instances - own) }
+        }
         assertTrue(mostCaches <= 4 * holders.size / instances.size, "one instance reads $mostCaches caches")
     }
 }
