Add a quarantine of prompt parts that crash endpoints

What callers saw: replicas crashed one after the other (26 in 22 s), since requests with one part of a prompt crash each replica that begins to answer them. Nothing linked a crash to what its requests held.

Design: a crash counts against the shared parts of the requests that the endpoint had received and not begun to answer; the beginning of an answer clears the parts of its request. Two crashes without an answer in between quarantine a part, since a harmful part never gets an answer while parts of sound requests soon do.

Related work: the circuit breaker before an outage opens on an endpoint's failures; here the request is at fault, and the endpoint's breaker would only move it on.

--- /dev/null
+++ b/library/src/main/kotlin/org/celerywalk/quarantine/SuspectParts.kt
@@ -0,0 +1,34 @@
+package org.celerywalk.quarantine
+
+/** Evidence about all suspect prompt parts, bounded in number. Not thread-safe. */
+internal class SuspectParts {
+    private val suspects = HashMap<String, SuspectPart>()
+
+    val isEmpty: Boolean get() = suspects.isEmpty()
+    val quarantinedCount: Int get() = suspects.values.count { it.isQuarantined }
+
+    operator fun get(part: String): SuspectPart? = suspects[part]
+
+    fun getOrAdd(part: String): SuspectPart = suspects.getOrPut(part) { SuspectPart() }
+
+    /** Returns true if [predicate] holds for any part in quarantine. */
+    fun anyQuarantined(predicate: (String, SuspectPart) -> Boolean): Boolean =
+        suspects.any { (part, suspect) -> suspect.isQuarantined && predicate(part, suspect) }
+
+    /** Returns at most [count] parts, those with most crashes first and among them those with the latest ones. */
+    fun mostSuspect(count: Int): Map<String, SuspectPart> =
+        suspects.entries.sortedWith(MOST_SUSPECT_FIRST).take(count).associate { it.toPair() }
+
+    /** Removes the parts whose evidence is out of date, and the least suspect ones beyond the maximum number. */
+    fun prune() {
+        suspects.values.removeIf { it.isExpired() }
+        if (suspects.size > MAX_PARTS) suspects.keys.retainAll(mostSuspect(MAX_PARTS).keys)
+    }
+
+    private companion object {
+        // Bounds the memory: requests may name any number of parts.
+        const val MAX_PARTS = 512
+        val MOST_SUSPECT_FIRST = compareByDescending<Map.Entry<String, SuspectPart>> { it.value.crashCount }
+            .thenByDescending { it.value.lastChangeAt }
+    }
+}
