Refuse requests with a quarantined prompt part

Cause: a gateway took a lost connection for a fault of the replica alone and sent the request, and later ones like it, to the next replica.

Evidence, on: DeadlyPromptPartTest, 3 of 4 fail, e.g. a request is not sent again once its part is quarantined [...]: expected: <2> but was: <4>

Change: a lost response counts as a crash if the endpoint should be serving and its port is closed; planned ends, silent instances and resets of an endpoint that goes on don't count. Requests with a part in quarantine get 503 with the time of the next trial, or 502 if they may have run. Gateways exchange the evidence at once after a crash and in each complete message.

After: DeadlyPromptPartTest 4 of 4.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointClient.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointClient.kt
@@ -13,7 +13,11 @@
 import okhttp3.Response
 import org.celerywalk.platform.wire.limitUnreadBytes
 import java.io.IOException
+import java.net.ConnectException
+import java.net.InetSocketAddress
+import java.net.Socket
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.locks.LockSupport
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -105,6 +109,34 @@
         if (isStarted) SendResult.ResponseLost(cause) else SendResult.NotSent(cause)
     }
 
+    /**
+     * Returns true if the machine at [address] is up and nothing listens there, as after the end of a process. Blocks
+     * the thread, at most for a few hundred milliseconds.
+     */
+    fun isPortClosed(address: String): Boolean {
+        // The connections of a process may end shortly before its listening socket.
+        repeat(PORT_CHECKS) { check ->
+            if (check > 0) LockSupport.parkNanos(PORT_CHECK_INTERVAL.inWholeNanoseconds)
+            if (refusesConnection(address)) return true
+        }
+        return false
+    }
+
+    private fun refusesConnection(address: String): Boolean {
+        val (host, port) = address.split(':')
+        return try {
+            Socket().use {
+                it.connect(InetSocketAddress(host, port.toInt()), CONNECT_TIMEOUT.inWholeMilliseconds.toInt())
+            }
+            false
+        } catch (_: ConnectException) {
+            true
+        } catch (_: IOException) {
+            // No answer, or no route: a silent machine says nothing about the process.
+            false
+        }
+    }
+
     private fun body(request: EndpointRequest): RequestBody? = when {
         request.body != null && request.method !in METHODS_WITHOUT_BODY -> request.body.toRequestBody()
         request.method in METHODS_REQUIRING_BODY -> ByteArray(0).toRequestBody()
@@ -119,5 +151,7 @@
         // The network delay to endpoints is 1 to 2 ms; one that does not accept within this time is down or overloaded.
         val CONNECT_TIMEOUT = 300.milliseconds
         val WRITE_TIMEOUT = 5.seconds
+        const val PORT_CHECKS = 2
+        val PORT_CHECK_INTERVAL = 20.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/FleetState.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/FleetState.kt
@@ -8,6 +8,7 @@
 import org.celerywalk.key.AccountKeys
 import org.celerywalk.key.StoreConfirmation
 import org.celerywalk.limit.RetryBudget
+import org.celerywalk.quarantine.PromptPartQuarantine
 import org.celerywalk.route.RouteTable
 import org.celerywalk.routing.FleetLoads
 import org.celerywalk.stream.RelocatableStreams
@@ -46,6 +47,7 @@
     val loads = FleetLoads(timeSource)
     val locations = PartLocations(timeSource, SENT_PART_TTL)
     val streams = RelocatableStreams(timeSource)
+    val quarantine = PromptPartQuarantine(timeSource)
     val quotas = ConcurrentHashMap<String, FleetQuota>()
     private val retryBudgets = ConcurrentHashMap<String, RetryBudget>()
     private val weightHistories = ConcurrentHashMap<String, WeightHistory>()
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/ForwardingContext.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/ForwardingContext.kt
@@ -11,6 +11,7 @@
     val state: FleetState,
     val sendContext: SendContext,
     val choosers: EndpointChoosers,
+    val quarantine: QuarantineEnforcer,
     val random: Random = Random.Default,
 )
 
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
@@ -69,6 +69,7 @@
         metrics.registerGauge("celerywalk.confirmation.age.ms") {
             state.confirmation.age()?.inWholeMilliseconds ?: -1
         }
+        metrics.registerGauge("celerywalk.quarantine.parts") { state.quarantine.quarantinedCount }
         val threadTimes = ThreadProcessorTimes()
         metrics.registerGauges("celerywalk.processor.seconds", "threads") {
             threadTimes.timeByGroup().mapValues { (_, time) -> time.toDouble(DurationUnit.SECONDS) }
@@ -103,13 +104,15 @@
     private fun createForwardingContext(): ForwardingContext {
         val prefillSpeed = settings.prefillTokensPerMillisecond
         val chooser = ModelReplicaChooser(timeSource, state.loads, state.locations, settings.dataCentre, prefillSpeed)
+        val client = EndpointClient()
         return ForwardingContext(
             state,
-            SendContext(EndpointClient(), replicas, log, metrics, MemoryBudget(RESPONSE_MEMORY_BYTES), timers),
+            SendContext(client, replicas, log, metrics, MemoryBudget(RESPONSE_MEMORY_BYTES), timers),
             EndpointChoosers(
                 GenerationPlacer(state, chooser, log, peers::announcePlacement),
                 ServiceEndpointChooser(state.loads, settings.dataCentre),
             ),
+            QuarantineEnforcer(state, client, log, { membership.reachablePeers }, peers::sendSoon),
         )
     }
 
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/PeerExchange.kt
@@ -17,8 +17,8 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Exchanges state with the other gateways over UDP: admitted quota, work at endpoints, weights versions and the age of
- * the last read of the store.
+ * Exchanges state with the other gateways over UDP: admitted quota, work at endpoints, weights versions, suspect prompt
+ * parts and the age of the last read of the store.
  *
  * Most messages contain only changes. Complete messages in between make up for lost ones, except for placements, each
  * of which is sent once.
@@ -50,6 +50,7 @@
     private val lastNumberByPeer = ConcurrentHashMap<String, Long>()
     private var lastSentNumber = 0L
     private var lastSentState: PeerState? = null
+    private var lastSentEvidenceRevision = 0L
     private var completeStateSentAt: ComparableTimeMark? = null
 
     /** True if another gateway has recently reported that it holds the lease for weight orders. */
@@ -106,7 +107,16 @@
         val positions = if (isComplete) cacheEvents.positions() else emptyMap()
         if (isComplete) completeStateSentAt = state.timeSource.markNow()
         val message = if (isComplete) currentState else currentState.changesSince(checkNotNull(previousState))
-        return message.copy(cacheEvents = positions + cacheEvents.takeReports())
+        return message.copy(
+            cacheEvents = positions + cacheEvents.takeReports(),
+            suspectParts = if (isComplete || hasNewEvidence()) state.quarantine.evidence() else emptyMap(),
+        )
+    }
+
+    // The ages in the evidence differ in each message, so that changes are told by its revision.
+    private fun hasNewEvidence(): Boolean {
+        val revision = state.quarantine.revision
+        return (revision != lastSentEvidenceRevision).also { lastSentEvidenceRevision = revision }
     }
 
     private fun completeState(): PeerState {
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/PeerState.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/PeerState.kt
@@ -1,6 +1,7 @@
 package org.celerywalk.gateway
 
 import org.celerywalk.cache.CacheEvents
+import org.celerywalk.quarantine.PartEvidence
 import org.celerywalk.routing.EndpointWork
 import kotlin.time.Duration
 
@@ -25,6 +26,7 @@
  * @property weightAges time since the publication of each version by model.
  * @property placements prompts that the sender has placed since its last message; not repeated.
  * @property cacheEvents events of the caches that the sender reads, by holder; without events, its position in them.
+ * @property suspectParts what the sender knows of prompt parts under which endpoints crashed.
  * @property holdsLease true if the sender holds the lease for weight orders.
  */
 internal data class PeerState(
@@ -42,6 +44,7 @@
     val weightAges: Map<String, Map<Int, Duration>> = emptyMap(),
     val placements: List<PeerPlacement> = emptyList(),
     val cacheEvents: Map<String, CacheEvents> = emptyMap(),
+    val suspectParts: Map<String, PartEvidence> = emptyMap(),
     val holdsLease: Boolean = false,
 ) {
     /**
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/PeerStateCodec.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/PeerStateCodec.kt
@@ -22,6 +22,7 @@
     private const val LEASE = "lease"
     private const val WEIGHT_AGES = "weight-ages"
     private const val CACHES = "caches"
+    private const val SUSPECTS = "suspects"
     private const val PLACEMENT_FIELDS = 3
 
     fun encode(state: PeerState): ByteArray {
@@ -43,6 +44,9 @@
         }
         root.putPlacements(state.placements)
         root.putEach(CACHES, state.cacheEvents) { holder, events -> CacheEventsCodec.encode(events, putArray(holder)) }
+        root.putEach(SUSPECTS, state.suspectParts) { part, evidence ->
+            PartEvidenceCodec.encode(evidence, putObject(part))
+        }
         if (state.holdsLease) root.put(LEASE, true)
         return JsonTree.encode(root)
     }
@@ -70,6 +74,7 @@
             weightAges = root.path(WEIGHT_AGES).toMap(::decodeAges),
             placements = root.path(PLACED).mapNotNull(::decodePlacement),
             cacheEvents = root.path(CACHES).toMap(CacheEventsCodec::decode),
+            suspectParts = root.path(SUSPECTS).toMap(PartEvidenceCodec::decode),
             holdsLease = root.path(LEASE).asBoolean(),
         )
     }
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/PeerStateReceiver.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/PeerStateReceiver.kt
@@ -58,6 +58,9 @@
             state.locations.recordSent(placement.holder, CacheScope(placement.scope), parts)
         }
         message.cacheEvents.forEach(onCacheEvents)
+        state.quarantine.merge(message.suspectParts).forEach {
+            log.write("part_quarantined", "part" to it, "peer" to message.sender)
+        }
         if (message.holdsLease) peerLeaseReportedAt = state.timeSource.markNow()
         applyConfirmation(message)
     }
--- /dev/null
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/QuarantineEnforcer.kt
@@ -0,0 +1,110 @@
+package org.celerywalk.gateway
+
+import org.celerywalk.endpoint.RegisteredEndpoint
+import org.celerywalk.platform.wire.CallerRequest
+import org.celerywalk.quarantine.QuarantineDecision
+import org.celerywalk.routing.ResponsibleInstance
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Applies the quarantine of prompt parts to the requests of this gateway.
+ *
+ * @param reachablePeers names of the other gateways that this gateway hears from.
+ * @param onEvidence called when the peers should learn of new evidence at once.
+ */
+internal class QuarantineEnforcer(
+    private val state: FleetState,
+    private val client: EndpointClient,
+    private val log: EventLog,
+    private val reachablePeers: () -> Set<String>,
+    private val onEvidence: () -> Unit,
+) {
+    /** Begins to apply the quarantine to [request]. */
+    fun begin(request: CallerRequest): RequestQuarantine = RequestQuarantine(request)
+
+    /** Quarantine of the shared prompt parts of one request. Used by one thread. */
+    inner class RequestQuarantine(private val request: CallerRequest) : AutoCloseable {
+        // The last part belongs to the request or its session, so no other request would be kept from the endpoints.
+        private val parts =
+            if (request.model == null) emptyList() else request.promptParts.dropLast(1).map { it.id }
+        private var isAdmitted = false
+        private var isOnTrial = false
+
+        /** Returns the rejection of the request if a part is in quarantine, or null if the request may be sent. */
+        fun reject(): AttemptOutcome.Rejected? = if (isAdmitted) null else decide()
+
+        private fun decide(): AttemptOutcome.Rejected? {
+            val decision = state.quarantine.check(parts, ::isTrialOwner)
+            isAdmitted = decision !is QuarantineDecision.Refused
+            isOnTrial = decision is QuarantineDecision.Trial
+            return when (decision) {
+                is QuarantineDecision.Admitted -> null
+                is QuarantineDecision.Trial -> {
+                    log.write("part_tried", "id" to request.attemptId, "part" to decision.part)
+                    onEvidence()
+                    null
+                }
+                is QuarantineDecision.Refused -> {
+                    log.write("request_quarantined", "id" to request.attemptId, "part" to decision.part)
+                    val retryAfter = decision.retryAfter.coerceAtLeast(MIN_RETRY_AFTER)
+                    AttemptOutcome.Rejected("prompt_part_quarantined", retryAfter)
+                }
+            }
+        }
+
+        /** Records that an endpoint began to answer the request. */
+        fun recordAnswer() {
+            state.quarantine.recordAnswer(parts).forEach {
+                log.write("part_cleared", "id" to request.attemptId, "part" to it)
+                onEvidence()
+            }
+        }
+
+        /**
+         * Records the [outcome] of a send to [endpoint]; [hasAnswerBegun] is true if any endpoint began to answer.
+         *
+         * If the endpoint crashed before it began to answer, this counts against the request's parts. Blocks while the
+         * endpoint is checked.
+         */
+        fun recordOutcome(endpoint: RegisteredEndpoint, outcome: AttemptOutcome, hasAnswerBegun: Boolean) {
+            if (!outcome.mayHaveExecuted) return
+            isAdmitted = false
+            isOnTrial = false
+            val isSuspect = outcome is AttemptOutcome.ResponseLost && !hasAnswerBegun && parts.isNotEmpty()
+            if (isSuspect && hasCrashed(endpoint)) recordCrash(endpoint)
+        }
+
+        /** Allows another trial if this one has not reached an endpoint. */
+        override fun close() {
+            if (isOnTrial) state.quarantine.withdrawTrial(parts)
+        }
+
+        private fun recordCrash(endpoint: RegisteredEndpoint) {
+            log.write(
+                "endpoint_crashed",
+                "id" to request.attemptId,
+                "endpoint" to endpoint.id,
+                "parts" to parts.joinToString(","),
+            )
+            // An endpoint may start again under the same id.
+            val endpointStart = listOfNotNull(endpoint.id, endpoint.startedAtMillis).joinToString("/")
+            state.quarantine.recordCrash(endpointStart, parts).forEach { log.write("part_quarantined", "part" to it) }
+            onEvidence()
+        }
+    }
+
+    // A planned end, a lost machine and a cut or reset connection don't count: the endpoint then drains, has left the
+    // registry, is silent, or still accepts connections.
+    private fun hasCrashed(endpoint: RegisteredEndpoint): Boolean {
+        val isExpectedToServe = state.directory.endpoints[endpoint.id]?.isDraining == false
+        return isExpectedToServe && client.isPortClosed(endpoint.address)
+    }
+
+    private fun isTrialOwner(part: String) =
+        ResponsibleInstance.isResponsible(state.settings.instance, part, reachablePeers())
+
+    private companion object {
+        // The gateway that owns the trial of a part may be another one.
+        val MIN_RETRY_AFTER = 1.seconds
+    }
+}
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/RequestForwarder.kt
@@ -22,6 +22,7 @@
     private val sentEndpointIds = mutableListOf<String>()
     private val relay = ResponseRelay(exchange, route, context.sendContext.responseMemory)
     private val sender = EndpointSender(exchange, route, admitted.body, relay, context.state, context.sendContext)
+    private val quarantine = context.quarantine.begin(exchange.caller)
     private var executions = 0
     private var lastServerError: BufferedResponse? = null
 
@@ -42,6 +43,7 @@
         budget.recordRequest()
         var outcome = sendToNextEndpoint()
         while (canRetry(outcome)) outcome = sendToNextEndpoint()
+        quarantine.close()
         if (executions == 0) admitted.refund()
         completeResponse(outcome)
     }
@@ -60,6 +62,7 @@
     }
 
     private fun sendToNextEndpoint(): AttemptOutcome {
+        quarantine.reject()?.let { return it }
         val serving = context.state.directory.servingEndpoints(service)
         // If no other endpoint is left, a stream that has begun is sent again to endpoints that refused it, so that it
         // is not broken off.
@@ -114,8 +117,11 @@
             forwarded,
             SendLimits(total = (timeLeft() / 2).takeIf { canRunAgain }, start = startLimit),
             tryTakeRelocation,
-            onBodyRead,
-        )
+        ) {
+            onBodyRead()
+            if (relay.hasAnswerBegun) quarantine.recordAnswer()
+        }
+        if (exchange.cancelReason == null) quarantine.recordOutcome(endpoint, outcome, relay.hasAnswerBegun)
         if (outcome.mayHaveExecuted) executions++
         if (outcome is AttemptOutcome.ServerError) lastServerError = outcome.response
         return outcome
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/ResponseRelay.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/ResponseRelay.kt
@@ -24,6 +24,10 @@
     private val bodyReader = BoundedBodyReader(memory)
     private val boundaries = ServerSentEventSplitter()
 
+    /** True once an endpoint has sent a complete event or a complete body for this request. */
+    var hasAnswerBegun: Boolean = false
+        private set
+
     /** ID of the last event that was relayed, or null if there is none or the stream is not resumable. */
     val lastEventId: String? get() = boundaries.lastEventId.takeIf { route.isResumable }
 
@@ -54,6 +58,7 @@
         } catch (e: IOException) {
             return AttemptOutcome.ResponseLost("body: ${e.message}")
         }
+        hasAnswerBegun = true
         onBodyRead()
         return sendUnlessServerError(BufferedResponse(response.code, response.fields(), body))
     }
@@ -78,8 +83,9 @@
                 return AttemptOutcome.ResponseLost("stream: ${e.message}")
             }
             if (count > 0) {
-                onBodyRead()
                 hasEvents = relayChunk(response, buffer, count) || hasEvents
+                hasAnswerBegun = hasAnswerBegun || hasEvents
+                onBodyRead()
             }
         } while (count >= 0 && boundaries.partialEventBytes <= MAX_EVENT_BYTES)
         return when {
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/EndpointStandIn.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/EndpointStandIn.kt
@@ -26,6 +26,9 @@
         }
     }
 
+    /** True once the stand-in accepts no more connections. */
+    val isClosed: Boolean get() = server.isClosed
+
     override fun close() {
         server.close()
     }
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/TestGateway.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/TestGateway.kt
@@ -41,6 +41,9 @@
     /** Port for callers. */
     val port: Int get() = ports[0]
 
+    /** Port for messages of the other gateways. */
+    val peerPort: Int get() = ports[3]
+
     /** Client that sends each request once and waits for up to 30 s. */
     val client: OkHttpClient =
         OkHttpClient.Builder().retryOnConnectionFailure(false).readTimeout(30, TimeUnit.SECONDS).build()
