Keep quarantined prompt parts in the platform's store

Cause: the evidence was only in the memory of processes.

Change: one gateway of the fleet writes each part that stays in quarantine to a table, and removes it when it is cleared; each gateway reads the table once at its start. Also, a crash names only the parts that it newly quarantines in the log.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
@@ -43,6 +43,7 @@
     private val peers = PeerExchange(state, membership, log, metrics, cacheEvents) {
         !isStopping && lease.isHeld && storeSync.hasReadWithin(LEASE_CLAIM_MAX_AGE)
     }
+    private val quarantineSync = QuarantineSync(state, table, log) { membership.reachablePeers }
     private val weightRollout: WeightRolloutController =
         WeightRolloutController(state, lease, replicas, log, { !lease.isHeld && peers.peerHoldsLease }, peers::sendSoon)
     private val timers: ScheduledExecutorService = ScheduledThreadPoolExecutor(1) { task ->
@@ -69,7 +70,7 @@
         metrics.registerGauge("celerywalk.confirmation.age.ms") {
             state.confirmation.age()?.inWholeMilliseconds ?: -1
         }
-        metrics.registerGauge("celerywalk.quarantine.parts") { state.quarantine.quarantinedCount }
+        metrics.registerGauge("celerywalk.quarantine.parts") { state.quarantine.quarantinedParts.size }
         val threadTimes = ThreadProcessorTimes()
         metrics.registerGauges("celerywalk.processor.seconds", "threads") {
             threadTimes.timeByGroup().mapValues { (_, time) -> time.toDouble(DurationUnit.SECONDS) }
@@ -78,6 +79,7 @@
         membership.start()
         server.start()
         peers.start()
+        quarantineSync.start()
         cacheEvents.start()
         weightRollout.start()
         log.write("listening")
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/StoreStandIn.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/StoreStandIn.kt
@@ -2,6 +2,7 @@
 
 import com.sun.net.httpserver.HttpExchange
 import com.sun.net.httpserver.HttpServer
+import org.celerywalk.platform.wire.JsonTree
 import java.net.InetSocketAddress
 import java.util.Base64
 import java.util.concurrent.ConcurrentHashMap
@@ -48,6 +49,11 @@
         lock.notifyAll()
     }
 
+    /** Returns the keys of the rows of [table]. */
+    fun keys(table: String): Set<String> = synchronized(lock) {
+        rows.filter { it.key.first == table && it.value.value != null }.keys.map { it.second }.toSet()
+    }
+
     /** Removes a row; the feed reports the removal. */
     fun remove(table: String, key: String) = synchronized(lock) {
         rows[table to key] = Row(null, ++newestVersion)
@@ -64,7 +70,8 @@
     private fun answer(exchange: HttpExchange) {
         val query = exchange.requestURI.query.orEmpty().split('&')
             .associate { it.substringBefore('=') to it.substringAfter('=') }
-        exchange.requestBody.readAllBytes()
+        val body = exchange.requestBody.readAllBytes()
+        if (isUp && exchange.requestURI.path == "/v1/rows-tx") transact(body)
         val after = query["after"]?.toLong() ?: -1
         val isFeed = exchange.requestURI.path == "/v1/rows-feed"
         if (isFeed) feedCalls.incrementAndGet()
@@ -79,6 +86,16 @@
         }
     }
 
+    // Conditions are not checked.
+    private fun transact(body: ByteArray) {
+        val transaction = JsonTree.parse(body)
+        transaction.path("writes").forEach {
+            val value = Base64.getDecoder().decode(it.path("value").asText()).decodeToString()
+            put(it.path("table").asText(), it.path("key").asText(), value)
+        }
+        transaction.path("remove").forEach { remove(it.path("table").asText(), it.path("key").asText()) }
+    }
+
     private fun awaitRows(table: String, after: Long, waitMillis: Long) = synchronized(lock) {
         val deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMillis)
         while (rows.none { it.key.first == table && it.value.version > after }) {
--- a/library/src/main/kotlin/org/celerywalk/quarantine/PromptPartQuarantine.kt
+++ b/library/src/main/kotlin/org/celerywalk/quarantine/PromptPartQuarantine.kt
@@ -26,9 +26,9 @@
     public var revision: Long = 0
         private set
 
-    /** Number of parts in quarantine. */
-    public val quarantinedCount: Int
-        @Synchronized get() = suspects.quarantinedCount
+    /** Evidence about the parts in quarantine. */
+    public val quarantinedParts: Map<String, PartEvidence>
+        @Synchronized get() = suspects.quarantined().mapValues { (_, suspect) -> suspect.toEvidence() }
 
     /**
      * Records that the endpoint start [endpointStart] crashed before it began to answer a request with [parts]; returns
@@ -37,10 +37,10 @@
     @Synchronized
     public fun recordCrash(endpointStart: String, parts: Collection<String>): List<String> {
         val now = timeSource.markNow()
-        val accusedParts = parts.toSet().filter { suspects.getOrAdd(it).addCrash(endpointStart, now) }
-        if (accusedParts.isNotEmpty()) revision++
+        val newSuspects = parts.toSet().filterNot { suspects.getOrAdd(it).isQuarantined }
+        if (parts.count { suspects.getOrAdd(it).addCrash(endpointStart, now) } > 0) revision++
         prune()
-        return accusedParts.filter { suspects[it]?.isQuarantined ?: false }
+        return newSuspects.filter { suspects[it]?.isQuarantined ?: false }
     }
 
     /** Records that an endpoint began to answer a request with [parts]; returns the parts that this clears. */
--- a/library/src/main/kotlin/org/celerywalk/quarantine/SuspectParts.kt
+++ b/library/src/main/kotlin/org/celerywalk/quarantine/SuspectParts.kt
@@ -5,12 +5,13 @@
     private val suspects = HashMap<String, SuspectPart>()
 
     val isEmpty: Boolean get() = suspects.isEmpty()
-    val quarantinedCount: Int get() = suspects.values.count { it.isQuarantined }
 
     operator fun get(part: String): SuspectPart? = suspects[part]
 
     fun getOrAdd(part: String): SuspectPart = suspects.getOrPut(part) { SuspectPart() }
 
+    fun quarantined(): Map<String, SuspectPart> = suspects.filterValues { it.isQuarantined }
+
     /** Returns true if [predicate] holds for any part in quarantine. */
     fun anyQuarantined(predicate: (String, SuspectPart) -> Boolean): Boolean =
         suspects.any { (part, suspect) -> suspect.isQuarantined && predicate(part, suspect) }
--- a/library/src/test/kotlin/org/celerywalk/quarantine/PromptPartQuarantineTest.kt
+++ b/library/src/test/kotlin/org/celerywalk/quarantine/PromptPartQuarantineTest.kt
@@ -105,7 +105,7 @@
         assertIs<QuarantineDecision.Trial>(decide("deadly"))
         assertEquals(listOf("deadly"), quarantine.recordAnswer(listOf("deadly")))
         repeat(2) { assertEquals(QuarantineDecision.Admitted, decide("deadly")) }
-        assertEquals(0, quarantine.quarantinedCount)
+        assertEquals(emptySet(), quarantine.quarantinedParts.keys)
     }
 
     @Test
