Declare the length of complete responses of the entry

Callers saw: a service answer or JSON completion of more than 4 KB that was cut (the entry stopped or ended while the caller still read) looked complete to a caller on HTTP/1.0 or with `Connection: close`.

Cause: the response had no length, and Jetty sends no chunks if the connection closes after the response. The end of the connection was then the only end of the body.

Change: the length of these bodies is known, so it is sent, except with status 204, where it is not allowed. A body shorter than its length is incomplete in every version of HTTP/1. Status pages declare theirs too.

--- a/entry/src/main/kotlin/org/celerywalk/entry/http/CallerResponse.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/http/CallerResponse.kt
@@ -125,13 +125,21 @@
     private enum class DrainState { WAITING, EMPTY, ENDED }
 }
 
-/** Sends a complete JSON response. */
-internal fun CallerResponse.sendJson(status: Int, json: ByteArray, headers: List<Pair<String, String>> = emptyList()) {
-    setHead(status, listOf("content-type" to "application/json") + headers)
-    write(json)
+/**
+ * Sends a complete response with its length, so that a caller whose connection ends early knows that the body is cut.
+ */
+internal fun CallerResponse.sendComplete(status: Int, headers: List<Pair<String, String>>, body: ByteArray) {
+    // A response with status 204 has no body and must not have a length.
+    val length = ("content-length" to "${body.size}").takeIf { status != HttpStatus.NO_CONTENT }
+    setHead(status, headers + listOfNotNull(length))
+    write(body)
     end()
 }
 
+/** Sends a complete JSON response. */
+internal fun CallerResponse.sendJson(status: Int, json: ByteArray, headers: List<Pair<String, String>> = emptyList()) =
+    sendComplete(status, listOf("content-type" to "application/json") + headers, json)
+
 /** Sends a complete error response. */
 internal fun CallerResponse.sendProblem(problem: Problem) = sendJson(
     problem.status,
--- a/entry/src/main/kotlin/org/celerywalk/entry/http/HttpServer.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/http/HttpServer.kt
@@ -83,7 +83,9 @@
 
     private fun sendText(context: Context, status: Int, text: String) {
         context.header(REQUEST_ID_HEADER, newRandomId())
-        context.status(status).contentType("text/plain; charset=utf-8").result(text)
+        val body = text.toByteArray()
+        context.res().setContentLength(body.size)
+        context.status(status).contentType("text/plain; charset=utf-8").result(body)
     }
 
     private companion object {
--- a/entry/src/main/kotlin/org/celerywalk/entry/http/HttpStatus.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/http/HttpStatus.kt
@@ -3,6 +3,7 @@
 /** HTTP status codes that the entry returns. */
 internal object HttpStatus {
     const val OK = 200
+    const val NO_CONTENT = 204
     const val BAD_REQUEST = 400
     const val UNAUTHORIZED = 401
     const val NOT_FOUND = 404
--- a/entry/src/main/kotlin/org/celerywalk/entry/service/ServiceRoute.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/service/ServiceRoute.kt
@@ -17,6 +17,7 @@
 import org.celerywalk.entry.http.Problem
 import org.celerywalk.entry.http.Route
 import org.celerywalk.entry.http.invalidRequest
+import org.celerywalk.entry.http.sendComplete
 import org.celerywalk.entry.http.toProblem
 import org.celerywalk.key.CallerKey
 import org.celerywalk.key.FORWARDED_HEADERS
@@ -106,11 +107,8 @@
             .map { call }
     }
 
-    private fun writeAnswer(exchange: Exchange, answer: ServiceAnswer) = with(exchange.response) {
-        setHead(answer.status, answer.headers)
-        write(answer.body)
-        end()
-    }
+    private fun writeAnswer(exchange: Exchange, answer: ServiceAnswer) =
+        exchange.response.sendComplete(answer.status, answer.headers, answer.body)
 
     private companion object {
         const val IDEMPOTENCY_KEY_HEADER = "idempotency-key"
--- a/entry/src/test/kotlin/org/celerywalk/entry/EntryFixture.kt
+++ b/entry/src/test/kotlin/org/celerywalk/entry/EntryFixture.kt
@@ -32,6 +32,7 @@
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -40,6 +41,7 @@
     vararg val agents: FakeAgent,
     httpPort: Int = 0,
     limits: EntryLimits = EntryLimits(),
+    stopTimeout: Duration = 5.seconds,
 ) : AutoCloseable {
     val table = FakeTable()
 
@@ -58,7 +60,7 @@
         EntrySettings(
             ProcessSettings(
                 "entry-1", "kyushu", "fukuoka-a", "127.0.0.1:0", "127.0.0.1:$httpPort", FakeAgent.SECRET, PEPPER,
-                stopTimeout = 5.seconds, leaveDelay = 1.milliseconds,
+                stopTimeout = stopTimeout, leaveDelay = 1.milliseconds,
             ),
             PlatformSettings("", "", ""),
             limits = limits,
--- /dev/null
+++ b/entry/src/test/kotlin/org/celerywalk/entry/RawCaller.kt
@@ -0,0 +1,74 @@
+package org.celerywalk.entry
+
+import java.net.InetSocketAddress
+import java.net.Socket
+import java.net.SocketException
+
+/** Everything that a caller received on its connection. */
+class RawResponse(val text: String, private val isReset: Boolean) {
+    private val head = text.substringBefore("\r\n\r\n").lowercase()
+    private val declaredLength = Regex("content-length: (\\d+)").find(head)?.let { it.groupValues[1].toInt() }
+
+    /** Body with its framing, one char per byte. */
+    val body = text.substringAfter("\r\n\r\n", "")
+
+    /** Whether an HTTP client takes the response for a complete one. */
+    val isComplete: Boolean
+        get() = when {
+            isReset -> false
+            "transfer-encoding: chunked" in head -> body.endsWith("\r\n0\r\n\r\n")
+            declaredLength != null -> body.length == declaredLength
+            // Ends with its connection.
+            else -> "\r\n\r\n" in text
+        }
+}
+
+/** Caller on a raw socket, whose small buffer fills up while it does not read. */
+class RawCaller(port: Int) : AutoCloseable {
+    private val socket = Socket().apply {
+        receiveBufferSize = BUFFER_BYTES
+        soTimeout = READ_TIMEOUT_MILLIS
+        connect(InetSocketAddress("127.0.0.1", port))
+    }
+
+    /** Number of received bytes that have not been read. */
+    val availableBytes: Int get() = socket.getInputStream().available()
+
+    /** Posts [json]; [protocol] is the protocol version, with header fields in further lines. */
+    fun post(path: String, json: String, protocol: String) = socket.getOutputStream().write(
+        (
+            "POST $path $protocol\r\nx-api-key: ${EntryFixture.KEY}\r\nIdempotency-Key: b-1\r\n" +
+                "Content-Length: ${json.length}\r\n\r\n$json"
+            ).toByteArray(),
+    )
+
+    fun get(path: String, protocol: String) =
+        socket.getOutputStream().write("GET $path $protocol\r\n\r\n".toByteArray())
+
+    /** Reads until the connection ends. */
+    fun readToEnd(): RawResponse {
+        val text = StringBuilder()
+        val isReset = try {
+            generateSequence { socket.getInputStream().read().takeIf { it >= 0 } }.forEach { text.append(it.toChar()) }
+            false
+        } catch (_: SocketException) {
+            true
+        }
+        return RawResponse(text.toString(), isReset)
+    }
+
+    override fun close() = socket.close()
+
+    companion object {
+        private const val BUFFER_BYTES = 4_096
+        private const val READ_TIMEOUT_MILLIS = 20_000
+
+        /** Protocol lines of connections that stay open, that close after the response, and of HTTP/1.0. */
+        val PROTOCOLS = listOf(
+            "HTTP/1.1\r\nHost: e",
+            "HTTP/1.1\r\nHost: e\r\nConnection: close",
+            "HTTP/1.0",
+            "HTTP/1.0\r\nConnection: keep-alive",
+        )
+    }
+}
--- a/entry/src/test/kotlin/org/celerywalk/entry/ServiceTest.kt
+++ b/entry/src/test/kotlin/org/celerywalk/entry/ServiceTest.kt
@@ -9,6 +9,7 @@
 import kotlin.test.assertContains
 import kotlin.test.assertEquals
 import kotlin.test.assertNotNull
+import kotlin.test.assertNull
 
 class ServiceTest {
     private val agents = listOf(FakeAgent("r0"), FakeAgent("r1"))
@@ -82,6 +83,17 @@
         assertEquals("/services/stock/12?size=s", agents.flatMap { it.serviceRequests }.last().path)
     }
 
+    @Test
+    fun `an answer without content is passed on without a length`() {
+        agents.forEach { agent ->
+            agent.onServiceCall = { FakeAgent.okReply(it, "").toBuilder().setStatus(204).build() }
+        }
+        entry.get("/services/stock", KEY).use {
+            assertEquals(204, it.code)
+            assertNull(it.header("content-length"))
+        }
+    }
+
     private companion object {
         val KEY = "Authorization" to "Bearer ${EntryFixture.KEY}"
         val IDEMPOTENCY_KEY = "Idempotency-Key" to "b-1"
