Frame streams of the entry so that a cut shows on every connection

Callers saw: a stream that ended with its entry (stop timeout passed, process killed) ended in an ordinary way if the caller used HTTP/1.0 or `Connection: close`. Only the missing `[DONE]` told that it was cut.

Cause: Jetty 12.1 sends no chunks if the connection closes after the response, so the end of the connection was the end of the body.

Change: a response without length sets `Transfer-Encoding: chunked`, which makes Jetty send chunks also then; a cut lacks the last chunk. HTTP/1.0 has no chunks: its connection gets SO_LINGER 0 until it has accepted the whole body, so a close before that, also one by the kernel after a kill, is a reset.

StreamFaultTest `a slow caller pauses only its own stream` searched the raw bytes of a `Connection: close` response, which now has chunks; a chunk's header inside a run of 1,000 characters hid 2 of 20,000 runs. It decodes the chunks now and still requires all 20,000 and `[DONE]`.

--- a/entry/src/main/kotlin/org/celerywalk/entry/http/CallerResponse.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/http/CallerResponse.kt
@@ -27,6 +27,7 @@
     private val pendingChunks = ArrayDeque<ByteArray>()
     private var pendingByteCount = 0
     private var output: ServletOutputStream? = null
+    private val streamFraming = StreamFraming(context.req())
     private var hasUnflushedBytes = false
     private var isEnding = false
     private var isWritable = false
@@ -38,11 +39,17 @@
     /** Number of bytes that the caller's connection has not accepted yet. */
     val pendingBytes: Int @Synchronized get() = pendingByteCount
 
-    /** Sets the status and header fields; has no effect after the first [write]. */
+    /**
+     * Sets the status and header fields; has no effect after the first [write].
+     *
+     * Unless [headers] declare the length of the body, its end is framed by [StreamFraming].
+     */
     @Synchronized
     fun setHead(status: Int, headers: List<Pair<String, String>>) {
+        val isLengthKnown = headers.any { (name, _) -> name == CONTENT_LENGTH } || status == HttpStatus.NO_CONTENT
+        val framing = if (isLengthKnown) emptyList() else streamFraming.start()
         context.res().status = status
-        headers.forEach { (name, value) -> context.res().setHeader(name, value) }
+        (headers + framing).forEach { (name, value) -> context.res().setHeader(name, value) }
     }
 
     fun write(content: ByteArray) {
@@ -103,7 +110,7 @@
         while (stream.isReady && writeOrFlush(stream)) continue
         return when {
             pendingChunks.isNotEmpty() -> DrainState.WAITING
-            isEnding && stream.isReady -> DrainState.ENDED
+            isEnding && stream.isReady -> DrainState.ENDED.also { streamFraming.complete() }
             else -> DrainState.EMPTY
         }
     }
@@ -111,7 +118,7 @@
     // Returns false if there was nothing to write or flush.
     private fun writeOrFlush(stream: ServletOutputStream): Boolean {
         val chunk = pendingChunks.removeFirstOrNull()
-        val mustFlush = chunk == null && hasUnflushedBytes && !isEnding
+        val mustFlush = chunk == null && hasUnflushedBytes && (!isEnding || streamFraming.isEndedByConnection)
         if (chunk != null) {
             stream.write(chunk)
             pendingByteCount -= chunk.size
@@ -130,7 +137,7 @@
  */
 internal fun CallerResponse.sendComplete(status: Int, headers: List<Pair<String, String>>, body: ByteArray) {
     // A response with status 204 has no body and must not have a length.
-    val length = ("content-length" to "${body.size}").takeIf { status != HttpStatus.NO_CONTENT }
+    val length = (CONTENT_LENGTH to "${body.size}").takeIf { status != HttpStatus.NO_CONTENT }
     setHead(status, headers + listOfNotNull(length))
     write(body)
     end()
@@ -146,3 +153,5 @@
     problem.toJson(),
     listOfNotNull(problem.retryAfterSeconds?.let { "retry-after" to "$it" }),
 )
+
+private const val CONTENT_LENGTH = "content-length"
--- a/entry/src/test/kotlin/org/celerywalk/entry/CutResponseTest.kt
+++ b/entry/src/test/kotlin/org/celerywalk/entry/CutResponseTest.kt
@@ -2,6 +2,7 @@
 
 import org.junit.jupiter.api.AfterEach
 import kotlin.test.Test
+import kotlin.test.assertContains
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
@@ -27,13 +28,38 @@
         }
     }
 
+    @Test
+    fun `a stream that a stop of the entry cuts is not framed as complete`() {
+        agent.onGenerate = {
+            it.sendStarted()
+            it.sendToken("one")
+        }
+        val callers = callAll { post(CHAT_PATH, EntryFixture.chatBody(stream = true), it) }
+        callers.values.forEach { caller -> entry.await { caller.availableBytes > 0 } }
+        entry.daemon.stop()
+        callers.forEach { (protocol, caller) ->
+            val response = caller.use { it.readToEnd() }
+            assertFalse(response.isComplete, "framed as complete for $protocol: ${response.text}")
+        }
+    }
+
+    @Test
+    fun `a complete stream is framed as complete`() {
+        agent.onGenerate = { it.sendAnswer("one", "x".repeat(LARGE_BYTES)) }
+        callAll { post(CHAT_PATH, EntryFixture.chatBody(stream = true), it) }.forEach { (protocol, caller) ->
+            val response = caller.use { it.readToEnd() }
+            assertTrue(response.isComplete, "not framed as complete for $protocol: ${response.text}")
+            assertContains(response.text, "data: [DONE]\n\n")
+        }
+    }
+
     @Test
     fun `responses of known length declare it`() {
         agent.onServiceCall = { FakeAgent.okReply(it, "y".repeat(LARGE_BYTES)) }
         agent.onGenerate = { it.sendAnswer("one", "x".repeat(LARGE_BYTES)) }
         val calls = listOf<RawCaller.(String) -> Unit>(
             { post("/services/swaps", "{}", it) },
-            { post("/v1/chat/completions", EntryFixture.chatBody(stream = false), it) },
+            { post(CHAT_PATH, EntryFixture.chatBody(stream = false), it) },
             { get("/metrics", it) },
         )
         calls.forEach { call ->
@@ -51,6 +77,8 @@
         }
 
     private companion object {
+        const val CHAT_PATH = "/v1/chat/completions"
+
         // More than the buffers of a connection hold.
         const val ANSWER_BYTES = 3_900_000
 
--- a/entry/src/test/kotlin/org/celerywalk/entry/StreamFaultTest.kt
+++ b/entry/src/test/kotlin/org/celerywalk/entry/StreamFaultTest.kt
@@ -51,7 +51,7 @@
                 "all ${sentCount.get()} chunks were taken for a caller that reads nothing",
             )
             entry.chat(stream = false).use { assertContains(it.body.string(), "one two three") }
-            val text = slowCaller.getInputStream().readAllBytes().toString(Charsets.UTF_8)
+            val text = RawResponse(slowCaller.getInputStream().readAllBytes().toString(Charsets.UTF_8)).content
             assertEquals(CHUNK_COUNT, Regex("x{$CHUNK_CHARS}").findAll(text).count())
             assertContains(text, "[DONE]")
         }
