Accept CR as a line end in the event streams of engines

Callers would see: an answer of an engine whose lines end with CR is retried on other replicas and then fails, although it was complete.

Cause: EventStreamParser ended lines at LF only. The event stream format allows CR LF, LF and CR. CR LF worked before.

Change: CR ends a line, and an LF right after it belongs to the same end, also if it comes with the next bytes.

EngineStreamEndTest also shows what held before: a stream that ends before or inside its terminal event fails, with a length, with chunks or with its connection, closed or reset; a complete one without length is complete.

--- a/runtime/src/main/kotlin/org/celerywalk/engine/EventStreamParser.kt
+++ b/runtime/src/main/kotlin/org/celerywalk/engine/EventStreamParser.kt
@@ -10,11 +10,13 @@
 internal data class ServerSentEvent(val name: String, val data: String)
 
 /**
- * Incremental parser of a `text/event-stream`. Comments and unknown fields are skipped.
+ * Incremental parser of a `text/event-stream`. Comments and unknown fields are skipped. Lines end with
+ * CR LF, LF or CR.
  *
  * @param maxEventBytes maximum length of a line, and of the data of an event.
  */
 internal class EventStreamParser(private val maxEventBytes: Int) {
+    private var previousByte = 0
     private val line = ByteArrayOutputStream()
     private var name = ""
     private val data = StringBuilder()
@@ -24,17 +26,19 @@
         val events = ArrayList<ServerSentEvent>()
         while (bytes.hasRemaining() && isWithinLimit()) {
             val byte = bytes.get().toInt()
-            if (byte != '\n'.code) {
-                line.write(byte)
-            } else {
-                val text = line.toString(Charsets.UTF_8).removeSuffix("\r")
-                line.reset()
-                parseLine(text)?.let(events::add)
+            val endsCrLf = byte == LF && previousByte == CR
+            previousByte = byte
+            when {
+                endsCrLf -> continue
+                byte == LF || byte == CR -> endLine()?.let(events::add)
+                else -> line.write(byte)
             }
         }
         return if (isWithinLimit()) events.right() else "an event is longer than $maxEventBytes bytes".left()
     }
 
+    private fun endLine(): ServerSentEvent? = parseLine(line.toString(Charsets.UTF_8)).also { line.reset() }
+
     private fun isWithinLimit() = line.size() <= maxEventBytes && data.length <= maxEventBytes
 
     private fun parseLine(text: String): ServerSentEvent? {
@@ -51,4 +55,9 @@
         }
         return event
     }
+
+    private companion object {
+        const val CR = '\r'.code
+        const val LF = '\n'.code
+    }
 }
--- /dev/null
+++ b/runtime/src/test/kotlin/org/celerywalk/engine/EngineStreamEndTest.kt
@@ -0,0 +1,76 @@
+package org.celerywalk.engine
+
+import org.celerywalk.RawServer
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.seconds
+
+/** Guards against a broken stream that counts as complete, and a complete one that counts as broken. */
+class EngineStreamEndTest {
+    private class Listener : EngineListener {
+        val end = CompletableFuture<String>()
+        private val text = StringBuilder()
+
+        override fun onStarted(incarnation: String, weights: String, promptTokens: Int, cachedTokens: Int) = Unit
+
+        override fun onTokens(offset: Int, count: Int, text: String) {
+            this.text.append(text)
+        }
+
+        override fun onFinished(totalTokens: Int, reason: String) {
+            end.complete("$totalTokens tokens: $text")
+        }
+
+        override fun onFailed(error: EngineError) {
+            end.complete("failed")
+        }
+    }
+
+    @Test
+    fun `a complete stream that ends with its connection is complete`() =
+        assertEquals("1 tokens: one", endOf(RawServer(HEAD + STARTED + TOKENS + FINISHED)))
+
+    @Test
+    fun `a stream may use any line end of the event stream format`() {
+        listOf("\r\n", "\r").forEach { lineEnd ->
+            val events = (STARTED + TOKENS + FINISHED).replace("\n", lineEnd)
+            assertEquals("1 tokens: one", endOf(RawServer(HEAD + events)), lineEnd.map { it.code }.toString())
+        }
+    }
+
+    @Test
+    fun `a stream that ends before its terminal event has failed`() {
+        val bodies = listOf("", STARTED, STARTED + TOKENS, STARTED + TOKENS + FINISHED.dropLast(1), ": waiting\n\n")
+        bodies.forEach { body ->
+            assertEquals("failed", endOf(RawServer(HEAD + body)), body)
+            assertEquals("failed", endOf(RawServer(HEAD + body, endsWithReset = true)), body)
+            assertEquals("failed", endOf(RawServer(head("Content-Length: ${body.length}") + body)), body)
+            assertEquals("failed", endOf(RawServer(head("Content-Length: 999") + body)), body)
+            assertEquals("failed", endOf(RawServer(head("Transfer-Encoding: chunked") + chunk(body))), body)
+            assertEquals("failed", endOf(RawServer(head("Transfer-Encoding: chunked") + chunk(body) + "0\r\n\r\n")), body)
+        }
+    }
+
+    private fun endOf(engine: RawServer): String = engine.use {
+        val listener = Listener()
+        val limits = EngineStreamLimits(threads = 2, idleTimeout = 5.seconds)
+        EngineStreams(it.url, connectTimeout = 5.seconds, limits).use { streams ->
+            streams.open("/generate", "{}".toByteArray(), listener)
+            listener.end.get(10, TimeUnit.SECONDS)
+        }
+    }
+
+    private fun head(framing: String) = HEAD.removeSuffix("\r\n") + "$framing\r\n\r\n"
+
+    private fun chunk(body: String) = if (body.isEmpty()) "" else "${body.length.toString(radix = 16)}\r\n$body\r\n"
+
+    private companion object {
+        const val HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+        const val STARTED = "event: started\n" +
+            "data: {\"incarnation\": \"e1\", \"weights\": \"w1\", \"prompt_tokens\": 2, \"cached_tokens\": 0}\n\n"
+        const val TOKENS = "event: tokens\ndata: {\"offset\": 0, \"count\": 1, \"text\": \"one\"}\n\n"
+        const val FINISHED = "event: finished\ndata: {\"total_tokens\": 1, \"reason\": \"stop\"}\n\n"
+    }
+}
