Drop the data of unnamed events in the streams of engines

Callers would see: an answer that fails or ends wrongly after an engine sent an event without a name, because the next event was read with the data of that one.

Cause: EventStreamParser cleared the data only at the end of an event with a name. The JSON parser reads the first document of the joined data, so the next event had the content of the unnamed one.

Evidence, on the unchanged code, with an unnamed event before the terminal one: EngineStreamEndTest.data without an event name is not part of the next event:50 expected: <1 tokens: one> but was: <0 tokens: one>

Change: an empty line ends every event and clears its fields.

--- a/runtime/src/main/kotlin/org/celerywalk/engine/EventStreamParser.kt
+++ b/runtime/src/main/kotlin/org/celerywalk/engine/EventStreamParser.kt
@@ -10,8 +10,8 @@
 internal data class ServerSentEvent(val name: String, val data: String)
 
 /**
- * Incremental parser of a `text/event-stream`. Comments and unknown fields are skipped. Lines end with
- * CR LF, LF or CR.
+ * Incremental parser of a `text/event-stream`. Comments, unknown fields and events without a name
+ * are skipped. Lines end with CR LF, LF or CR.
  *
  * @param maxEventBytes maximum length of a line, and of the data of an event.
  */
@@ -45,8 +45,8 @@
         val value = text.substringAfter(':', "").removePrefix(" ")
         var event: ServerSentEvent? = null
         when {
-            text.isEmpty() && name.isNotEmpty() -> {
-                event = ServerSentEvent(name, data.toString())
+            text.isEmpty() -> {
+                event = ServerSentEvent(name, data.toString()).takeIf { name.isNotEmpty() }
                 name = ""
                 data.clear()
             }
--- a/runtime/src/test/kotlin/org/celerywalk/engine/EngineStreamEndTest.kt
+++ b/runtime/src/test/kotlin/org/celerywalk/engine/EngineStreamEndTest.kt
@@ -40,6 +40,12 @@
         }
     }
 
+    @Test
+    fun `data without an event name is not part of the next event`() {
+        val unnamed = "data: {\"total_tokens\": 0, \"reason\": \"stop\"}\n\n"
+        assertEquals("1 tokens: one", endOf(RawServer(HEAD + STARTED + TOKENS + unnamed + FINISHED)))
+    }
+
     @Test
     fun `a stream that ends before its terminal event has failed`() {
         val bodies = listOf("", STARTED, STARTED + TOKENS, STARTED + TOKENS + FINISHED.dropLast(1), ": waiting\n\n")
