Skip the byte order mark of the event streams of engines

Callers would see: an answer of an engine that starts its stream with a byte order mark is retried and then fails, although it was complete.

Cause: EventStreamParser took the mark for a part of the first field's name, so the first event had no name.

Evidence, on the unchanged code: EngineStreamEndTest.a byte order mark precedes the first event:45 expected: <1 tokens: one> but was: <failed>

Change: the mark is removed from the first line, as the event stream format says.

--- a/runtime/src/main/kotlin/org/celerywalk/engine/EventStreamParser.kt
+++ b/runtime/src/main/kotlin/org/celerywalk/engine/EventStreamParser.kt
@@ -11,12 +11,13 @@
 
 /**
  * Incremental parser of a `text/event-stream`. Comments, unknown fields and events without a name
- * are skipped. Lines end with CR LF, LF or CR.
+ * are skipped. Lines end with CR LF, LF or CR; a byte order mark may precede the first one.
  *
  * @param maxEventBytes maximum length of a line, and of the data of an event.
  */
 internal class EventStreamParser(private val maxEventBytes: Int) {
     private var previousByte = 0
+    private var isFirstLine = true
     private val line = ByteArrayOutputStream()
     private var name = ""
     private val data = StringBuilder()
@@ -37,7 +38,11 @@
         return if (isWithinLimit()) events.right() else "an event is longer than $maxEventBytes bytes".left()
     }
 
-    private fun endLine(): ServerSentEvent? = parseLine(line.toString(Charsets.UTF_8)).also { line.reset() }
+    private fun endLine(): ServerSentEvent? {
+        val text = line.toString(Charsets.UTF_8)
+        line.reset()
+        return parseLine(if (isFirstLine) text.removePrefix(BYTE_ORDER_MARK) else text).also { isFirstLine = false }
+    }
 
     private fun isWithinLimit() = line.size() <= maxEventBytes && data.length <= maxEventBytes
 
@@ -59,5 +64,6 @@
     private companion object {
         const val CR = '\r'.code
         const val LF = '\n'.code
+        const val BYTE_ORDER_MARK = "\uFEFF"
     }
 }
--- a/runtime/src/test/kotlin/org/celerywalk/engine/EngineStreamEndTest.kt
+++ b/runtime/src/test/kotlin/org/celerywalk/engine/EngineStreamEndTest.kt
@@ -40,6 +40,10 @@
         }
     }
 
+    @Test
+    fun `a byte order mark precedes the first event`() =
+        assertEquals("1 tokens: one", endOf(RawServer(HEAD + "\u00ef\u00bb\u00bf" + STARTED + TOKENS + FINISHED)))
+
     @Test
     fun `data without an event name is not part of the next event`() {
         val unnamed = "data: {\"total_tokens\": 0, \"reason\": \"stop\"}\n\n"
