Detect cut responses of plain services by their content

Callers would see: a response of a plain service without length and chunks whose connection ended early is passed on as the complete answer. For a booking, the cut answer is recorded and returned to every repeat.

Cause: PlainServiceClient took every body as complete if its connection ended normally. Without a length or chunks, the end of the connection says nothing about the end of the body.

Change: the format decides where it shows its own end. An event stream must not end inside an event, and without a length not before its first event; JSON without a length must be complete and well-formed. A cut response is lost, with its execution unknown. Text and binary content without a length stays undetectable.

--- a/runtime/src/main/kotlin/org/celerywalk/engine/EventStreamParser.kt
+++ b/runtime/src/main/kotlin/org/celerywalk/engine/EventStreamParser.kt
@@ -21,6 +21,10 @@
     private val line = ByteArrayOutputStream()
     private var name = ""
     private val data = StringBuilder()
+    private var hasFields = false
+
+    /** Whether the consumed bytes end within a line or an event. */
+    val isInsideEvent: Boolean get() = line.size() > 0 || hasFields
 
     /** Consumes [bytes] and returns the events completed by them, or an error message. */
     fun feed(bytes: ByteBuffer): Either<String, List<ServerSentEvent>> {
@@ -47,6 +51,7 @@
     private fun isWithinLimit() = line.size() <= maxEventBytes && data.length <= maxEventBytes
 
     private fun parseLine(text: String): ServerSentEvent? {
+        if (!text.startsWith(COMMENT)) hasFields = text.isNotEmpty()
         val value = text.substringAfter(':', "").removePrefix(" ")
         var event: ServerSentEvent? = null
         when {
@@ -64,6 +69,7 @@
     private companion object {
         const val CR = '\r'.code
         const val LF = '\n'.code
+        const val COMMENT = ':'
         const val BYTE_ORDER_MARK = "\uFEFF"
     }
 }
--- a/runtime/src/main/kotlin/org/celerywalk/http/HttpCaller.kt
+++ b/runtime/src/main/kotlin/org/celerywalk/http/HttpCaller.kt
@@ -21,8 +21,17 @@
 import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.time.toJavaDuration
 
-/** An HTTP response whose body has been read into memory. */
-internal class BufferedHttpResponse(val status: Int, val headers: Headers, val body: ByteArray)
+/**
+ * An HTTP response whose body has been read into memory.
+ *
+ * @property isEndedByConnection whether the body had neither a length nor chunks, so that it may have been cut.
+ */
+internal class BufferedHttpResponse(
+    val status: Int,
+    val headers: Headers,
+    val body: ByteArray,
+    val isEndedByConnection: Boolean,
+)
 
 /**
  * A call without a complete response.
@@ -116,14 +125,22 @@
             if (content.size > MAX_BODY_BYTES) {
                 HttpFailure("the response is longer than $MAX_BODY_BYTES bytes", mayBeSent = true).left()
             } else {
-                BufferedHttpResponse(it.code, it.headers, content.readByteArray()).right()
+                BufferedHttpResponse(it.code, it.headers, content.readByteArray(), isEndedByConnection(it)).right()
             }
         }
     } catch (e: IOException) {
         HttpFailure("the response was cut: ${e.message ?: e.javaClass.simpleName}", mayBeSent = true).left()
     }
 
+    // The head as it was received: OkHttp removes the length of a body that it has decompressed.
+    private fun isEndedByConnection(response: Response): Boolean {
+        val headers = (response.networkResponse ?: response).headers
+        return response.code !in STATUSES_WITHOUT_BODY && FRAMING_HEADERS.all { headers[it] == null }
+    }
+
     private companion object {
+        val STATUSES_WITHOUT_BODY = setOf(204, 304)
+        val FRAMING_HEADERS = listOf("Content-Length", "Transfer-Encoding")
         const val IDLE_SECONDS = 30L
         const val CHUNK_BYTES = 64L * 1024
         const val MAX_BODY_BYTES = 16L * 1024 * 1024
--- a/runtime/src/main/kotlin/org/celerywalk/http/PlainServiceClient.kt
+++ b/runtime/src/main/kotlin/org/celerywalk/http/PlainServiceClient.kt
@@ -1,7 +1,9 @@
 package org.celerywalk.http
 
 import arrow.core.Either
+import arrow.core.flatMap
 import arrow.core.left
+import arrow.core.right
 import okhttp3.Request
 import okhttp3.RequestBody.Companion.toRequestBody
 import org.celerywalk.error.Execution
@@ -49,8 +51,12 @@
             return CompletableFuture.completedFuture(error("malformed request: ${e.message}", mayBeSent = false).left())
         }
         return caller.call(call).thenApply { result ->
-            result.mapLeft { error(it.message, it.mayBeSent) }
-                .map { PlainServiceResponse(it.status, it.headers.toList(), it.body) }
+            result.mapLeft { error(it.message, it.mayBeSent) }.flatMap { response ->
+                when (val cut = response.findCut()) {
+                    null -> PlainServiceResponse(response.status, response.headers.toList(), response.body).right()
+                    else -> error("the response was cut: $cut", mayBeSent = true).left()
+                }
+            }
         }
     }
 
