Keep the latest crashes of a prompt part, not the first ones

Cause: a part with the maximum number of crashes took no further one, also if answers had cleared it of all of them. A part that all requests share reaches it over time, and its answers keep that evidence from expiring. If none is cleared, the evidence expires while the trials still crash endpoints.

Evidence, before: QuarantineEvidenceTest, 2 of 2 fail, Expected value to be of type <...Refused>, actual <...Admitted> [..., 1h 57m 6s, 2h 7m 6s, 2h 7m 7s, 2h 7m 8s, 2h 7m 9s, 2h 7m 14s, ...]

Change: the first crash gives way to a later one. Instances that learn of crashes in different orders keep the same ones.

After: QuarantineEvidenceTest, PromptPartQuarantineTest and DeadlyPartLoadTest pass.

--- a/library/src/main/kotlin/org/celerywalk/quarantine/SuspectPart.kt
+++ b/library/src/main/kotlin/org/celerywalk/quarantine/SuspectPart.kt
@@ -25,10 +25,12 @@
     /** Adds the crash of the endpoint start [endpointStart]; returns false if it is known already or out of date. */
     fun addCrash(endpointStart: String, at: ComparableTimeMark): Boolean {
         val isCleared = answeredAt?.let { it >= at } ?: false
-        if (isCleared || endpointStart in crashedAt || crashedAt.size >= MAX_CRASHES) return false
+        if (isCleared || endpointStart in crashedAt) return false
         crashedAt[endpointStart] = at
-        crashCount++
-        return true
+        // Refusing later crashes instead would let the evidence expire while the part goes on to crash endpoints.
+        if (crashedAt.size > MAX_CRASHES) crashedAt -= crashedAt.minBy { it.value }.key
+        crashCount = activeCrashes.size
+        return endpointStart in crashedAt
     }
 
     /** Adds an answer, which clears the part of the crashes before it; returns true if there were any. */
--- /dev/null
+++ b/library/src/test/kotlin/org/celerywalk/quarantine/QuarantineEvidenceTest.kt
@@ -0,0 +1,45 @@
+package org.celerywalk.quarantine
+
+import kotlin.test.Test
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
+
+/** Guards against evidence that is lost, never reaches the peers, or outlives what it shows. */
+class QuarantineEvidenceTest {
+    private val clock = TestTimeSource()
+    private val quarantine = PromptPartQuarantine(clock)
+
+    @Test
+    fun `crashes that answers have cleared don't keep later ones from counting`() {
+        repeat(16) {
+            quarantine.recordCrash("e-$it", listOf("first"))
+            clock += 10.seconds
+            quarantine.recordAnswer(listOf("first"))
+            clock += 10.seconds
+        }
+        quarantine.recordCrash("f-1", listOf("first"))
+        quarantine.recordCrash("f-2", listOf("first"))
+        assertIs<QuarantineDecision.Refused>(decide("first"))
+    }
+
+    @Test
+    fun `a part that crashes endpoints for hours stays in quarantine`() {
+        var crashes = 0
+        val sent = mutableListOf<Duration>()
+        val start = clock.markNow()
+        repeat(12 * 3_600) {
+            if (decide("deadly") !is QuarantineDecision.Refused) {
+                sent += start.elapsedNow()
+                quarantine.recordCrash("e-${crashes++}", listOf("deadly"))
+            }
+            clock += 1.seconds
+        }
+        assertTrue(sent.zipWithNext().drop(5).all { (a, b) -> b - a >= 10.minutes }, "$sent")
+    }
+
+    private fun decide(vararg parts: String) = quarantine.check(parts.toList()) { true }
+}
