Withdraw only the instance's own trial of a prompt part

What callers would see: one more request with a harmful part reaches an endpoint each time an instance withdraws a trial while a peer's is open.

Cause: the withdrawal cleared the time of the last trial, whoever began it.

Evidence, before: QuarantineEvidenceTest, 1 of 3 fails, Expected value to be of type <...Refused>, actual <...Trial>

Change: trials of this instance and of its peers are kept apart, and the later of the two counts.

After: QuarantineEvidenceTest and PromptPartQuarantineTest pass.

--- a/library/src/main/kotlin/org/celerywalk/quarantine/SuspectPart.kt
+++ b/library/src/main/kotlin/org/celerywalk/quarantine/SuspectPart.kt
@@ -9,9 +9,9 @@
 internal class SuspectPart {
     private val crashedAt = HashMap<String, ComparableTimeMark>()
     private var answeredAt: ComparableTimeMark? = null
-    private var triedAt: ComparableTimeMark? = null
     private var ownAnswerAt: ComparableTimeMark? = null
     private var ownTrialAt: ComparableTimeMark? = null
+    private var peerTrialAt: ComparableTimeMark? = null
 
     /** Number of crashes since the last answer. */
     var crashCount: Int = 0
@@ -44,13 +44,12 @@
     }
 
     fun addTrial(at: ComparableTimeMark, isOwn: Boolean) {
-        if (isOwn) ownTrialAt = at
-        triedAt = maxOf(triedAt ?: at, at)
+        if (isOwn) ownTrialAt = at else peerTrialAt = maxOf(peerTrialAt ?: at, at)
     }
 
+    /** Takes back the last trial of this instance; trials of its peers still count. */
     fun withdrawTrial() {
         ownTrialAt = null
-        triedAt = null
     }
 
     /** Returns true if [other] may be to blame for all crashes of this part, which then need not be harmful itself. */
@@ -77,6 +76,8 @@
         ownTrialAt?.elapsedNow(),
     )
 
+    private val triedAt: ComparableTimeMark? get() = listOfNotNull(ownTrialAt, peerTrialAt).maxOrNull()
+
     private val activeCrashes: Set<String>
         get() = crashedAt.filterValues { at -> answeredAt?.let { at > it } ?: true }.keys
 
--- a/library/src/test/kotlin/org/celerywalk/quarantine/QuarantineEvidenceTest.kt
+++ b/library/src/test/kotlin/org/celerywalk/quarantine/QuarantineEvidenceTest.kt
@@ -41,5 +41,19 @@
         assertTrue(sent.zipWithNext().drop(5).all { (a, b) -> b - a >= 10.minutes }, "$sent")
     }
 
+    @Test
+    fun `a withdrawn trial leaves the trial of a peer`() {
+        val peer = PromptPartQuarantine(clock)
+        listOf(quarantine, peer).forEach { each ->
+            listOf("e-1", "e-2").forEach { each.recordCrash(it, listOf("deadly")) }
+        }
+        clock += 5.seconds
+        assertIs<QuarantineDecision.Trial>(decide("deadly"))
+        assertIs<QuarantineDecision.Trial>(peer.check(listOf("deadly")) { true })
+        quarantine.merge(peer.evidence())
+        quarantine.withdrawTrial(listOf("deadly"))
+        assertIs<QuarantineDecision.Refused>(decide("deadly"))
+    }
+
     private fun decide(vararg parts: String) = quarantine.check(parts.toList()) { true }
 }
