Take reports of evidence from the future as current

What callers would see: after an odd message of a peer, a sound part is refused for as long as the message says, whatever answers it gets, or a harmful one is never quarantined.

Cause: a negative age became a time in the future, which outweighs all evidence until then.

Evidence, before: QuarantineEvidenceTest, 1 of 5 fails, expected: <Admitted> but was: <Refused(part=sound, retryAfter=1d 0h 0m 4s)>

Change: negative ages count as zero. Huge ages, of either sign, were merged without an error already (test).

After: QuarantineEvidenceTest and PromptPartQuarantineTest pass.

--- a/library/src/main/kotlin/org/celerywalk/quarantine/PromptPartQuarantine.kt
+++ b/library/src/main/kotlin/org/celerywalk/quarantine/PromptPartQuarantine.kt
@@ -120,9 +120,13 @@
         val now = timeSource.markNow()
         val suspect = suspects.getOrAdd(part)
         val wasQuarantined = suspect.isQuarantined
-        reported.answerAge?.let { suspect.addAnswer(now - it, isOwn = false) }
-        reported.trialAge?.let { suspect.addTrial(now - it, isOwn = false) }
-        val newCrashes = reported.crashAges.count { (endpointStart, age) -> suspect.addCrash(endpointStart, now - age) }
+
+        // A time in the future would outweigh all evidence until then.
+        fun timeOf(age: Duration) = now - age.coerceAtLeast(Duration.ZERO)
+
+        reported.answerAge?.let { suspect.addAnswer(timeOf(it), isOwn = false) }
+        reported.trialAge?.let { suspect.addTrial(timeOf(it), isOwn = false) }
+        val newCrashes = reported.crashAges.count { (start, age) -> suspect.addCrash(start, timeOf(age)) }
         if (newCrashes > 0) revision++
         return suspect.isQuarantined && !wasQuarantined
     }
--- a/library/src/test/kotlin/org/celerywalk/quarantine/QuarantineEvidenceTest.kt
+++ b/library/src/test/kotlin/org/celerywalk/quarantine/QuarantineEvidenceTest.kt
@@ -1,9 +1,12 @@
 package org.celerywalk.quarantine
 
 import kotlin.test.Test
+import kotlin.test.assertEquals
 import kotlin.test.assertIs
 import kotlin.test.assertTrue
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.days
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TestTimeSource
@@ -55,5 +58,40 @@
         assertIs<QuarantineDecision.Refused>(decide("deadly"))
     }
 
+    @Test
+    fun `evidence from the future neither holds a part nor clears it for good`() {
+        quarantine.merge(
+            mapOf(
+                "sound" to PartEvidence(mapOf("e-1" to (-1).days, "e-2" to (-1).days)),
+                "deadly" to PartEvidence(emptyMap(), answerAge = (-1).days),
+            ),
+        )
+        clock += 1.seconds
+        quarantine.recordAnswer(listOf("sound"))
+        assertEquals(QuarantineDecision.Admitted, decide("sound"))
+        listOf("e-1", "e-2").forEach { quarantine.recordCrash(it, listOf("deadly")) }
+        assertIs<QuarantineDecision.Refused>(decide("deadly"))
+    }
+
+    @Test
+    fun `evidence of any age is merged without an error`() {
+        val ages = listOf(Long.MAX_VALUE, Long.MIN_VALUE, 0, Long.MAX_VALUE / 2, Long.MIN_VALUE / 2)
+            .map { it.milliseconds }
+        ages.forEach { a ->
+            ages.forEach { b ->
+                ages.forEach { c ->
+                    val q = PromptPartQuarantine(clock)
+                    q.merge(mapOf("p" to PartEvidence(mapOf("e-1" to a, "e-2" to b), c, b)))
+                    q.check(listOf("p")) { true }
+                    q.recordCrash("e-3", listOf("p"))
+                    q.check(listOf("p")) { true }
+                    q.evidence()
+                    q.recordAnswer(listOf("p"))
+                    q.check(listOf("p")) { false }
+                }
+            }
+        }
+    }
+
     private fun decide(vararg parts: String) = quarantine.check(parts.toList()) { true }
 }
