Report answers to peers, however many parts are suspect

Cause: the report to peers holds the 48 most suspect parts. A part that the instance's own trial has just cleared counts as the least suspect one, and is left out if there are enough others with a single crash; those stay for 20 minutes if their requests never come again.

Evidence, before: QuarantineEvidenceTest, 1 of 6 fails, expected: <Admitted> but was: <Refused(part=first, retryAfter=0s)>

Change: 16 places of the report are for the parts with the latest answers.

After: QuarantineEvidenceTest, PromptPartQuarantineTest and DeadlyPartLoadTest pass.

--- a/library/src/main/kotlin/org/celerywalk/quarantine/PromptPartQuarantine.kt
+++ b/library/src/main/kotlin/org/celerywalk/quarantine/PromptPartQuarantine.kt
@@ -103,7 +103,8 @@
         if (!hasSuspects) return emptyMap()
         return synchronized(this) {
             prune()
-            suspects.mostSuspect(MAX_REPORTED_PARTS).mapValues { (_, suspect) -> suspect.toEvidence() }
+            val reported = suspects.mostSuspect(MAX_REPORTED_SUSPECTS) + suspects.latestAnswered(MAX_REPORTED_ANSWERS)
+            reported.mapValues { (_, suspect) -> suspect.toEvidence() }
         }
     }
 
@@ -137,7 +138,9 @@
     }
 
     private companion object {
-        // Bounds the messages to peers.
-        const val MAX_REPORTED_PARTS = 48
+        // Bound the messages to peers. Parts with an answer are no longer among the most suspect ones, but may still be
+        // in quarantine at the peers.
+        const val MAX_REPORTED_SUSPECTS = 32
+        const val MAX_REPORTED_ANSWERS = 16
     }
 }
--- a/library/src/main/kotlin/org/celerywalk/quarantine/SuspectPart.kt
+++ b/library/src/main/kotlin/org/celerywalk/quarantine/SuspectPart.kt
@@ -9,10 +9,13 @@
 internal class SuspectPart {
     private val crashedAt = HashMap<String, ComparableTimeMark>()
     private var answeredAt: ComparableTimeMark? = null
-    private var ownAnswerAt: ComparableTimeMark? = null
     private var ownTrialAt: ComparableTimeMark? = null
     private var peerTrialAt: ComparableTimeMark? = null
 
+    /** Time of the last answer that this instance received, or null if it has received none. */
+    var ownAnswerAt: ComparableTimeMark? = null
+        private set
+
     /** Number of crashes since the last answer. */
     var crashCount: Int = 0
         private set
--- a/library/src/main/kotlin/org/celerywalk/quarantine/SuspectParts.kt
+++ b/library/src/main/kotlin/org/celerywalk/quarantine/SuspectParts.kt
@@ -19,6 +19,11 @@
     fun mostSuspect(count: Int): Map<String, SuspectPart> =
         suspects.entries.sortedWith(MOST_SUSPECT_FIRST).take(count).associate { it.toPair() }
 
+    /** Returns at most [count] parts that this instance received an answer for, those with the latest answers first. */
+    fun latestAnswered(count: Int): Map<String, SuspectPart> =
+        suspects.entries.filter { it.value.ownAnswerAt != null }.sortedByDescending { it.value.ownAnswerAt }.take(count)
+            .associate { it.toPair() }
+
     /** Removes the parts whose evidence is out of date, and the least suspect ones beyond the maximum number. */
     fun prune() {
         suspects.values.removeIf { it.isExpired() }
--- a/library/src/test/kotlin/org/celerywalk/quarantine/QuarantineEvidenceTest.kt
+++ b/library/src/test/kotlin/org/celerywalk/quarantine/QuarantineEvidenceTest.kt
@@ -44,6 +44,19 @@
         assertTrue(sent.zipWithNext().drop(5).all { (a, b) -> b - a >= 10.minutes }, "$sent")
     }
 
+    @Test
+    fun `peers learn that a part is cleared, however many others are suspect`() {
+        val peer = PromptPartQuarantine(clock)
+        listOf("e-1", "e-2").forEach { quarantine.recordCrash(it, listOf("first")) }
+        peer.merge(quarantine.evidence())
+        repeat(60) { quarantine.recordCrash("f-$it", listOf("once-$it")) }
+        clock += 5.seconds
+        assertIs<QuarantineDecision.Trial>(decide("first"))
+        quarantine.recordAnswer(listOf("first"))
+        peer.merge(quarantine.evidence())
+        assertEquals(QuarantineDecision.Admitted, peer.check(listOf("first")) { false })
+    }
+
     @Test
     fun `a withdrawn trial leaves the trial of a peer`() {
         val peer = PromptPartQuarantine(clock)
