--- a/library/src/main/kotlin/org/celerywalk/quarantine/PromptPartQuarantine.kt
+++ b/library/src/main/kotlin/org/celerywalk/quarantine/PromptPartQuarantine.kt
@@ -103,7 +103,8 @@
         if (!hasSuspects) return emptyMap()
         return synchronized(this) {
             prune()
-            suspects.mostSuspect(MAX_REPORTED_PARTS).mapValues { (_, suspect) -> suspect.toEvidence() }
+            val reported = suspects.mostSuspect(MAX_REPORTED_SUSPECTS) + suspects.latestAnswered(MAX_REPORTED_ANSWERS)
+            reported.mapValues { (_, suspect) -> suspect.toEvidence() }
         }
     }
 
@@ -120,9 +121,13 @@
         val now = timeSource.markNow()
         val suspect = suspects.getOrAdd(part)
         val wasQuarantined = suspect.isQuarantined
-        reported.answerAge?.let { suspect.addAnswer(now - it, isOwn = false) }
-        reported.trialAge?.let { suspect.addTrial(now - it, isOwn = false) }
-        val newCrashes = reported.crashAges.count { (endpointStart, age) -> suspect.addCrash(endpointStart, now - age) }
+
+        // A time in the future would outweigh all evidence until then.
+        fun timeOf(age: Duration) = now - age.coerceAtLeast(Duration.ZERO)
+
+        reported.answerAge?.let { suspect.addAnswer(timeOf(it), isOwn = false) }
+        reported.trialAge?.let { suspect.addTrial(timeOf(it), isOwn = false) }
+        val newCrashes = reported.crashAges.count { (start, age) -> suspect.addCrash(start, timeOf(age)) }
         if (newCrashes > 0) revision++
         return suspect.isQuarantined && !wasQuarantined
     }
@@ -133,7 +138,9 @@
     }
 
     private companion object {
-        // Bounds the messages to peers.
-        const val MAX_REPORTED_PARTS = 48
+        // Bound the messages to peers. Parts with an answer are no longer among the most suspect ones, but may still be
+        // in quarantine at the peers.
+        const val MAX_REPORTED_SUSPECTS = 32
+        const val MAX_REPORTED_ANSWERS = 16
     }
 }
--- a/library/src/main/kotlin/org/celerywalk/quarantine/SuspectPart.kt
+++ b/library/src/main/kotlin/org/celerywalk/quarantine/SuspectPart.kt
@@ -9,9 +9,12 @@
 internal class SuspectPart {
     private val crashedAt = HashMap<String, ComparableTimeMark>()
     private var answeredAt: ComparableTimeMark? = null
-    private var triedAt: ComparableTimeMark? = null
-    private var ownAnswerAt: ComparableTimeMark? = null
     private var ownTrialAt: ComparableTimeMark? = null
+    private var peerTrialAt: ComparableTimeMark? = null
+
+    /** Time of the last answer that this instance received, or null if it has received none. */
+    var ownAnswerAt: ComparableTimeMark? = null
+        private set
 
     /** Number of crashes since the last answer. */
     var crashCount: Int = 0
@@ -25,10 +28,12 @@
     /** Adds the crash of the endpoint start [endpointStart]; returns false if it is known already or out of date. */
     fun addCrash(endpointStart: String, at: ComparableTimeMark): Boolean {
         val isCleared = answeredAt?.let { it >= at } ?: false
-        if (isCleared || endpointStart in crashedAt || crashedAt.size >= MAX_CRASHES) return false
+        if (isCleared || endpointStart in crashedAt) return false
         crashedAt[endpointStart] = at
-        crashCount++
-        return true
+        // Refusing later crashes instead would let the evidence expire while the part goes on to crash endpoints.
+        if (crashedAt.size > MAX_CRASHES) crashedAt -= crashedAt.minBy { it.value }.key
+        crashCount = activeCrashes.size
+        return endpointStart in crashedAt
     }
 
     /** Adds an answer, which clears the part of the crashes before it; returns true if there were any. */
@@ -42,13 +47,12 @@
     }
 
     fun addTrial(at: ComparableTimeMark, isOwn: Boolean) {
-        if (isOwn) ownTrialAt = at
-        triedAt = maxOf(triedAt ?: at, at)
+        if (isOwn) ownTrialAt = at else peerTrialAt = maxOf(peerTrialAt ?: at, at)
     }
 
+    /** Takes back the last trial of this instance; trials of its peers still count. */
     fun withdrawTrial() {
         ownTrialAt = null
-        triedAt = null
     }
 
     /** Returns true if [other] may be to blame for all crashes of this part, which then need not be harmful itself. */
@@ -75,6 +79,8 @@
         ownTrialAt?.elapsedNow(),
     )
 
+    private val triedAt: ComparableTimeMark? get() = listOfNotNull(ownTrialAt, peerTrialAt).maxOrNull()
+
     private val activeCrashes: Set<String>
         get() = crashedAt.filterValues { at -> answeredAt?.let { at > it } ?: true }.keys
 
