Leave out gateways whose member row has no usable address

One row of another writer among those of the gateways, such as "999.0.0.1:80" or "no address:80", would have cut off a gateway from others: it sent its state only to the members before the odd one in its list, in each run. Those after it count that gateway as silent, divide its quotas and don't hear of its work, ejections and confirmations.

Membership took any text with a colon and a number for an address. DatagramChannel.send throws an UnresolvedAddressException for such a host, which is no IOException, so the loop over the peers ended.

Member rows now need the form that addresses of endpoints need; others are logged as unreadable.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/Membership.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/Membership.kt
@@ -1,5 +1,6 @@
 package org.celerywalk.gateway
 
+import org.celerywalk.platform.wire.AddressFormat
 import org.celerywalk.platform.wire.PlatformTable
 import org.celerywalk.platform.wire.RowWrite
 import java.util.concurrent.ConcurrentHashMap
@@ -92,7 +93,7 @@
     }
 
     private fun update(name: String, addressText: String) {
-        val address = SocketAddress.parse(addressText)
+        val address = addressText.takeIf(AddressFormat::isValid)?.let(SocketAddress::parse)
         if (address == null) {
             log.write("row_unreadable", "table" to MEMBERS_TABLE, "key" to name)
         } else {
