Confirm the configuration despite unreadable announced weights

One row such as op/version/odd with a version beyond 64 bits, or nested deeply, would have made every gateway refuse all requests with an API key, and report itself not ready, for as long as the row was there.

OperatorsSync confirmed its rows only if all of them had been applied, and an unreadable row never was: it read the whole table again each second and confirmed nothing.

An announcement that names no weights is now logged once for each of its versions and counts as applied. A configuration that can't be read still leaves the confirmation out, since keys may have been withdrawn by it.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/OperatorsSync.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/OperatorsSync.kt
@@ -97,16 +97,19 @@
     private fun decodeAndApply(row: StoredRow): Boolean = when {
         row.key == CONFIGURATION_KEY ->
             FleetDocument.decodeConfiguration(row.value)?.let(::adopt) ?: false.also { log.writeUnreadable(row) }
-        row.key.startsWith(WEIGHTS_PREFIX) -> FleetDocument.decodeTargetWeights(row.value)?.let { weights ->
-            if (state.recordWeights(weights)) {
-                log.write("weights_named", "model" to weights.model, "version" to weights.version)
-                onNewWeights()
-            }
-            true
-        } ?: false.also { log.writeUnreadable(row) }
+        row.key.startsWith(WEIGHTS_PREFIX) -> true.also { applyWeights(row) }
         else -> true
     }
 
+    // An unreadable announcement counts as applied: it names no weights, and reading it again would not change that.
+    private fun applyWeights(row: StoredRow) {
+        val weights = FleetDocument.decodeTargetWeights(row.value) ?: return log.writeUnreadable(row)
+        if (state.recordWeights(weights)) {
+            log.write("weights_named", "model" to weights.model, "version" to weights.version)
+            onNewWeights()
+        }
+    }
+
     // Returns false if another version is active.
     private fun adopt(configuration: FleetConfiguration): Boolean {
         if (state.adopt(configuration)) {
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/StoreSyncTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/StoreSyncTest.kt
@@ -111,6 +111,24 @@
         await { state.confirmation.isWithin(CONFIRMATION_LIMIT) }
     }
 
+    /** Guards against API keys that are refused, since weights that can't be read leave the configuration unconfirmed. */
+    @Test
+    fun `an unreadable announcement of weights does not keep the configuration from being followed and confirmed`() {
+        putConfiguration(version = 1, routes = 3)
+        store.put("op", "version/odd", """{"model":"odd","version":99999999999999999999}""")
+        store.put("op", "version/m", """{"model":"m","version":3}""")
+        sync.start()
+        await { state.confirmation.isWithin(CONFIRMATION_LIMIT) }
+        store.put("op", "version/odd", "[".repeat(1_000))
+        putConfiguration(version = 2, routes = 3)
+        await { version() == 2L }
+        val observedUntil = TimeSource.Monotonic.markNow() + 6.seconds
+        await { observedUntil.hasPassedNow() }
+        assertTrue(state.confirmation.isWithin(CONFIRMATION_LIMIT), "${state.confirmation.age()}")
+        assertEquals(3, state.weightHistoryOf("m").newestVersion)
+        assertEquals(2, store.transfers.getValue("version/odd").get(), "transfers of the row")
+    }
+
     private fun version() = state.activeConfiguration?.configuration?.version
 
     private fun putConfiguration(version: Int, routes: Int) {
