Believe a refusal only if it belongs to the request

A replica that answered a request with the refusal of an earlier one made its caller hear 503, "not run, try again", for a request that the replica may have run, or the gateway sent it to a second replica (REFUSED, TWICE).

EndpointSender took X-Not-Executed, or status 421, at its word before it compared the echoed attempt ID, which only other responses were held to.

The ID is now compared before anything of the response is used, also before the weights version that it states is recorded. A refusal without an ID is still believed: replicas echo the ID, so the refusal of another request would name that one, and the gateway opens a connection for each request, so no earlier request of its own can be meant.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointSender.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointSender.kt
@@ -1,6 +1,7 @@
 package org.celerywalk.gateway
 
 import okhttp3.Call
+import okhttp3.Response
 import org.celerywalk.endpoint.RegisteredEndpoint
 import org.celerywalk.platform.wire.EndpointResponseHeaders
 import org.celerywalk.platform.wire.ForwardedHeaders
@@ -94,18 +95,31 @@
             is SendResult.NotSent -> AttemptOutcome.NotExecuted(result.cause, wasSent = false)
             is SendResult.ResponseLost -> AttemptOutcome.ResponseLost(result.cause)
             is SendResult.ResponseReceived -> result.response.use { response ->
-                val responseHeaders = EndpointResponseHeaders.decode(response.code) { response.header(it) }
-                recordWeightsVersion(endpoint, responseHeaders)
-                if (responseHeaders.isNotExecuted) {
-                    handleNotExecuted(endpoint, response.code, responseHeaders, expectedWeightsVersion)
-                } else {
-                    relay.relay(response, responseHeaders, onBodyRead)
-                        // Closes the connection without reading the rest of the response.
-                        .also { if (it is AttemptOutcome.ResponseLost) call.cancel() }
-                }
+                classify(endpoint, response, expectedWeightsVersion, onBodyRead)
+                    // Closes the connection without reading the rest of the response.
+                    .also { if (it is AttemptOutcome.ResponseLost) call.cancel() }
             }
         }
 
+    private fun classify(
+        endpoint: RegisteredEndpoint,
+        response: Response,
+        expectedWeightsVersion: Int?,
+        onBodyRead: () -> Unit,
+    ): AttemptOutcome {
+        val headers = EndpointResponseHeaders.decode(response.code) { response.header(it) }
+        // An endpoint may repeat the response to another request. One without an ID is the only one of its connection.
+        if (headers.attemptId != null && headers.attemptId != exchange.caller.attemptId) {
+            return AttemptOutcome.ResponseLost("response to another request")
+        }
+        recordWeightsVersion(endpoint, headers)
+        return if (headers.isNotExecuted) {
+            handleNotExecuted(endpoint, response.code, headers, expectedWeightsVersion)
+        } else {
+            relay.relay(response, onBodyRead)
+        }
+    }
+
     private fun recordHealth(endpoint: RegisteredEndpoint, outcome: AttemptOutcome, duration: Duration) {
         val load = state.loads.getOrCreate(endpoint.id)
         when {
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/ResponseRelay.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/ResponseRelay.kt
@@ -33,9 +33,7 @@
      * A server error is returned instead of relayed, so that the request can be retried. [onBodyRead] is called after
      * each read of the body: once for a buffered response; for a stream, first when its first bytes have arrived.
      */
-    fun relay(response: Response, headers: EndpointResponseHeaders, onBodyRead: () -> Unit): AttemptOutcome = when {
-        headers.attemptId != null && headers.attemptId != exchange.caller.attemptId ->
-            AttemptOutcome.ResponseLost("response to another request")
+    fun relay(response: Response, onBodyRead: () -> Unit): AttemptOutcome = when {
         route.kind == RequestKind.STREAMING && response.code == OK -> relayStream(response, onBodyRead)
         exchange.response.isCommitted -> AttemptOutcome.ResponseLost("status_${response.code} for the rest of a stream")
         else -> relayBuffered(response, onBodyRead)
