Count a success without a signature as a lost response

EndpointResponseHeaders.isSigned was decoded and not used.

The protocol says that a 2xx response counts only with the signature, so it is now handled like a response that was cut: the request may have run.

Stand-ins of existing tests answered 200 without a signature, which no replica does: EndpointStandIn.responseScript now signs successes. What those tests assert is unchanged.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointSender.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointSender.kt
@@ -113,10 +113,10 @@
             return AttemptOutcome.ResponseLost("response to another request")
         }
         recordWeightsVersion(endpoint, headers)
-        return if (headers.isNotExecuted) {
-            handleNotExecuted(endpoint, response.code, headers, expectedWeightsVersion)
-        } else {
-            relay.relay(response, onBodyRead)
+        return when {
+            headers.isNotExecuted -> handleNotExecuted(endpoint, response.code, headers, expectedWeightsVersion)
+            response.isSuccessful && !headers.isSigned -> AttemptOutcome.ResponseLost("success without a signature")
+            else -> relay.relay(response, onBodyRead)
         }
     }
 
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/EndpointStandIn.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/EndpointStandIn.kt
@@ -45,14 +45,22 @@
         generateSequence { read().takeIf { it >= 0 && it != '\n'.code } }.map { it.toChar() }.joinToString("").trim()
 
     companion object {
-        /** Returns a script that responds with [status] and [body] and echoes the attempt ID. */
+        private const val SIGNATURE = "X-Response-Signature"
+        private val SUCCESSES = 200..299
+
+        /**
+         * Returns a script that responds with [status] and [body] and echoes the attempt ID. Successes are signed, as
+         * those of endpoints are, if [fields] have no signature.
+         */
         fun responseScript(status: Int, body: String, vararg fields: String): (ReceivedRequest, Socket) -> Unit =
             { request, socket ->
+                val isSigned = status !in SUCCESSES || fields.any { it.startsWith(SIGNATURE) }
+                val signature = if (isSigned) emptyList() else listOf("$SIGNATURE: s")
                 val head = listOf(
                     "HTTP/1.1 $status X",
                     "X-Attempt-Id: ${request.fields["x-attempt-id"]}",
                     "Content-Length: ${body.length}",
-                ) + fields
+                ) + signature + fields
                 socket.getOutputStream().write((head.joinToString("\r\n") + "\r\n\r\n" + body).toByteArray())
             }
 
