--- a/gateway/src/test/kotlin/org/celerywalk/gateway/BrokenStreamTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/BrokenStreamTest.kt
@@ -56,6 +56,13 @@
         respond("200 X", "Content-Type: text/event-stream\r\n", "id: 2\ndata: ERROR\n\n"),
     )
 
+    @Test
+    fun `a success of the next endpoint that is no event stream is not relayed into the stream`() = assertBrokenOff(
+        respond("200 X", "${SIGNED}Content-Type: text/html\r\n", ""),
+        respond("200 X", "${SIGNED}Content-Type: text/html\r\n", "<p>ERROR</p>\n\n"),
+        respond("200 X", "${SIGNED}Content-Type: application/json; charset=utf-8\r\n", "{\"error\":\n\n\"ERROR\"}\n\n"),
+    )
+
     private fun respond(status: String, fields: String, body: String) =
         "HTTP/1.1 $status\r\n${fields}Content-Length: ${body.length}\r\n\r\n$body"
 
