Believe an engine's refusal only if it names the attempt

The JDK's HTTP client keeps the connection of a refusal and can't be told not to, and a refusal did not say which request it belongs to.

The engine's refusal of a generation now carries its `attempt_id`, and only the refusal of the same attempt counts as not run; any other leaves open whether the request ran. EndlessEngine passes an attempt ID to the changed function; what its tests assert is unchanged.

--- a/runtime/src/main/kotlin/org/celerywalk/engine/EngineStreams.kt
+++ b/runtime/src/main/kotlin/org/celerywalk/engine/EngineStreams.kt
@@ -45,8 +45,8 @@
         idleChecker.scheduleWithFixedDelay(::failIdleStreams, period, period, TimeUnit.MILLISECONDS)
     }
 
-    /** Posts [body] to [path] and delivers the events of the response to [listener]. */
-    fun open(path: String, body: ByteArray, listener: EngineListener): EngineCall {
+    /** Posts [body] to [path] as attempt [attemptId] and delivers the events of the response to [listener]. */
+    fun open(path: String, attemptId: String, body: ByteArray, listener: EngineListener): EngineCall {
         val stream = EngineStream(listener, baseUrl, System::nanoTime, openStreams::remove)
         openStreams.add(stream)
         val request = HttpRequest.newBuilder(URI.create(baseUrl + path))
@@ -55,7 +55,8 @@
             .POST(BodyPublishers.ofByteArray(body))
             .build()
         val refusal = AtomicReference<EngineError?>()
-        val exchange = client.sendAsync(request, streamOrRefusalHandler(stream, refusal)).whenComplete { _, failure ->
+        val handler = streamOrRefusalHandler(stream, attemptId, refusal)
+        val exchange = client.sendAsync(request, handler).whenComplete { _, failure ->
             val refused = refusal.get()
             when {
                 failure != null -> stream.fail(messageOf(cause(failure)), isNotExecuted = isUnsent(failure))
@@ -73,13 +74,14 @@
 
     private fun streamOrRefusalHandler(
         stream: EngineStream,
+        attemptId: String,
         refusal: AtomicReference<EngineError?>,
     ): BodyHandler<Void?> = BodyHandler { info ->
         if (info.statusCode() == STATUS_OK) {
             BodySubscribers.fromSubscriber(stream)
         } else {
             BodySubscribers.mapping(BodyPrefixSubscriber(MAX_REFUSAL_BYTES)) {
-                refusal.set(refusal("generate", baseUrl, info.statusCode(), it))
+                refusal.set(refusal("generate", baseUrl, info.statusCode(), it, attemptId))
                 null
             }
         }
--- a/runtime/src/main/kotlin/org/celerywalk/engine/HttpEngine.kt
+++ b/runtime/src/main/kotlin/org/celerywalk/engine/HttpEngine.kt
@@ -49,7 +49,7 @@
             put("resume_offset", request.resumeOffset)
             put("resume_text", request.resumeText)
         }
-        return streams.open("/v1/generate", jsonMapper.writeValueAsBytes(body), listener)
+        return streams.open("/v1/generate", request.attemptId, jsonMapper.writeValueAsBytes(body), listener)
     }
 
     override fun status(): CompletableFuture<Either<EngineError, EngineStatus>> =
@@ -103,7 +103,7 @@
         request: Request.Builder,
     ): CompletableFuture<Either<EngineError, BufferedHttpResponse>> = caller.call(request).thenApply { result ->
         result.mapLeft { EngineError(step, baseUrl, it.message, isNotExecuted = !it.mayBeSent) }
-            .flatMap { if (it.status in SUCCESS) it.right() else refusal(step, baseUrl, it.status, it.body).left() }
+            .flatMap { if (it.status in SUCCESS) it.right() else refusal(step, baseUrl, it.status, it.body, null).left() }
     }
 
     private companion object {
@@ -114,12 +114,19 @@
 /**
  * Converts an error response of an engine.
  *
- * The request counts as not executed only if the response says so in the field `not_run`.
+ * The request counts as not executed only if the response says so in the field `not_run`, and names the request's
+ * [attemptId] if it has one: on a kept connection, an engine could send an earlier refusal again.
  */
-internal fun refusal(step: String, peer: String, status: Int, body: ByteArray): EngineError {
+internal fun refusal(step: String, peer: String, status: Int, body: ByteArray, attemptId: String?): EngineError {
     val tree = parseJson(body) { it }.getOrNull()
     val message = tree?.path("error")?.asText().orEmpty()
-    return EngineError(step, peer, "HTTP status $status: $message", tree?.path("not_run")?.asBoolean() == true)
+    val isOfRequest = attemptId == null || tree?.path("attempt_id")?.asText() == attemptId
+    return EngineError(
+        step,
+        peer,
+        "HTTP status $status: $message",
+        isNotExecuted = isOfRequest && tree?.path("not_run")?.asBoolean() == true,
+    )
 }
 
 private fun get(url: String) = Request.Builder().url(url)
--- a/runtime/src/test/kotlin/org/celerywalk/engine/EndlessEngine.kt
+++ b/runtime/src/test/kotlin/org/celerywalk/engine/EndlessEngine.kt
@@ -37,7 +37,7 @@
         val listener = Listener()
         val limits = EngineStreamLimits(threads = 2, idleTimeout = 10.seconds)
         EngineStreams("http://127.0.0.1:${server.localPort}", connectTimeout = 5.seconds, limits).use {
-            it.open("/generate", "{}".toByteArray(), listener)
+            it.open("/generate", "a", "{}".toByteArray(), listener)
             val error = listener.error.get(8, TimeUnit.SECONDS)
             assertTrue(closed.await(5, TimeUnit.SECONDS), "still open after $error, $takenBytes bytes taken")
         }
--- a/standins/src/main/kotlin/org/celerywalk/standins/engine/EngineStandIn.kt
+++ b/standins/src/main/kotlin/org/celerywalk/standins/engine/EngineStandIn.kt
@@ -92,9 +92,10 @@
     }
 
     private fun generate(ctx: Context) {
-        val (generation, refusal) = simulator.submit(ctx.bodyAsClass())
+        val body = ctx.bodyAsClass<GenerateBody>()
+        val (generation, refusal) = simulator.submit(body)
         if (generation == null) {
-            refusal?.let { refuse(ctx, it) }
+            refusal?.let { refuse(ctx, it, mapOf("attempt_id" to body.attemptId)) }
             return
         }
         ctx.contentType("text/event-stream")
@@ -124,8 +125,8 @@
         else -> "event: ${event::class.simpleName?.lowercase()}\ndata: ${standInJson.writeValueAsString(event)}\n\n"
     }
 
-    private fun refuse(ctx: Context, refusal: Refusal) {
-        ctx.status(refusal.status).json(mapOf("error" to refusal.message, "not_run" to true))
+    private fun refuse(ctx: Context, refusal: Refusal, fields: Map<String, String> = emptyMap()) {
+        ctx.status(refusal.status).json(mapOf("error" to refusal.message, "not_run" to true) + fields)
     }
 
     private companion object {
