--- a/runtime/src/main/kotlin/org/celerywalk/engine/HttpEngine.kt
+++ b/runtime/src/main/kotlin/org/celerywalk/engine/HttpEngine.kt
@@ -103,7 +103,13 @@
         request: Request.Builder,
     ): CompletableFuture<Either<EngineError, BufferedHttpResponse>> = caller.call(request).thenApply { result ->
         result.mapLeft { EngineError(step, baseUrl, it.message, isNotExecuted = !it.mayBeSent) }
-            .flatMap { if (it.status in SUCCESS) it.right() else refusal(step, baseUrl, it.status, it.body, null).left() }
+            .flatMap {
+                if (it.status in SUCCESS) {
+                    it.right()
+                } else {
+                    refusal(step, baseUrl, it.status, it.body, attemptId = null).left()
+                }
+            }
     }
 
     private companion object {
