Report responses that are not UTF-8 as invalid JSON in the runtime

A response whose first bytes look like UTF-32 ended the future of a call with an exception, although HttpCaller's callers rely on a normal end in every case. PeerSync would have thrown on it and never have counted the instance list as read, which its start waits for.

Jackson's detection of encodings reports such bytes with a CharConversionException, which parseJson does not catch.

The mapper now accepts only UTF-8, as JsonTree does for the gateway.

--- a/runtime/src/main/kotlin/org/celerywalk/http/Json.kt
+++ b/runtime/src/main/kotlin/org/celerywalk/http/Json.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import com.fasterxml.jackson.core.JsonFactory
 import com.fasterxml.jackson.core.JsonProcessingException
 import com.fasterxml.jackson.databind.JsonNode
 import com.fasterxml.jackson.databind.ObjectMapper
@@ -11,8 +12,13 @@
 import okhttp3.RequestBody
 import okhttp3.RequestBody.Companion.toRequestBody
 
-/** Mapper for JSON trees only: data binding for Kotlin would load kotlin-reflect, which needs too much memory here. */
-internal val jsonMapper = ObjectMapper()
+/**
+ * Mapper for JSON trees only: data binding for Kotlin would load kotlin-reflect, which needs too much memory here.
+ *
+ * JSON is UTF-8. The detection of other encodings would report invalid bytes with errors other than
+ * JsonProcessingException.
+ */
+internal val jsonMapper = ObjectMapper(JsonFactory.builder().disable(JsonFactory.Feature.CHARSET_DETECTION).build())
 
 private val jsonMediaType = "application/json".toMediaType()
 
