--- a/gateway/src/main/kotlin/org/celerywalk/gateway/OperatorsSync.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/OperatorsSync.kt
@@ -90,15 +90,15 @@
     }
 
     // Returns false if the row was not applied.
-    private fun applyRow(row: StoredRow): Boolean = decodeAndApply(row).also { isApplied ->
+    private fun applyRow(row: StoredRow): Boolean {
+        val isApplied = when {
+            row.key == CONFIGURATION_KEY ->
+                FleetDocument.decodeConfiguration(row.value)?.let(::adopt) ?: false.also { log.writeUnreadable(row) }
+            row.key.startsWith(WEIGHTS_PREFIX) -> true.also { applyWeights(row) }
+            else -> true
+        }
         if (isApplied) appliedVersions[row.key] = row.version
-    }
-
-    private fun decodeAndApply(row: StoredRow): Boolean = when {
-        row.key == CONFIGURATION_KEY ->
-            FleetDocument.decodeConfiguration(row.value)?.let(::adopt) ?: false.also { log.writeUnreadable(row) }
-        row.key.startsWith(WEIGHTS_PREFIX) -> true.also { applyWeights(row) }
-        else -> true
+        return isApplied
     }
 
     // An unreadable announcement counts as applied: it names no weights, and reading it again would not change that.
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/ResponseRelay.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/ResponseRelay.kt
@@ -34,7 +34,7 @@
      * each read of the body: once for a buffered response; for a stream, first when its first bytes have arrived.
      */
     fun relay(response: Response, onBodyRead: () -> Unit): AttemptOutcome = when {
-        exchange.response.isCommitted && !response.mayBeEventStream() ->
+        exchange.response.isCommitted && !(response.code == OK && response.mayBeEventStream()) ->
             AttemptOutcome.ResponseLost("status_${response.code} for the rest of a stream")
         route.kind == RequestKind.STREAMING && response.code == OK -> relayStream(response, onBodyRead)
         else -> relayBuffered(response, onBodyRead)
@@ -107,17 +107,16 @@
         }
     }
 
-    private fun Response.mayBeEventStream(): Boolean =
-        code == OK && header("Content-Type")?.startsWith(EVENT_STREAM, ignoreCase = true) ?: true
-
     private fun Response.fields(): List<Pair<String, String>> =
         headers.filterNot { (name, _) -> EndpointResponseHeaders.isHopByHopField(name) }
 
     private companion object {
         const val OK = 200
-        const val EVENT_STREAM = "text/event-stream"
         const val MIN_SERVER_ERROR_STATUS = 500
         const val BUFFER_BYTES = 8 * 1024
         const val MAX_EVENT_BYTES = 256 * 1024
     }
 }
+
+private fun Response.mayBeEventStream(): Boolean =
+    header("Content-Type")?.startsWith("text/event-stream", ignoreCase = true) ?: true
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/OddPeerTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/OddPeerTest.kt
@@ -70,7 +70,8 @@
             "ejected", "placed", "lease", "weight-ages", "caches",
         )
         val nestedValues = values + values.flatMap { v ->
-            listOf("[$v]", "{\"\":$v}", "{\"g\":$v}", "[[$v,$v,$v]]", "{\"m\":{\"1\":$v}}", "{\"m\":[$v,$v,$v,$v,$v,$v]}")
+            val array = List(6) { v }.joinToString(",", "[", "]")
+            listOf("[$v]", "{\"\":$v}", "{\"g\":$v}", "[[$v,$v,$v]]", "{\"m\":{\"1\":$v}}", "{\"m\":$array}")
         }
         return fields.flatMap { field -> nestedValues.map { """{"name":"odd","$field":$it}""" } } +
             values.map { """{"name":$it}""" } + values + "[".repeat(60_000) + "\u0000\u0000\u0000{"
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/OddRegistryEntryTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/OddRegistryEntryTest.kt
@@ -42,7 +42,7 @@
     private fun oddEntries(): List<String> {
         val valid = entry("10.0.0.1:80")
         val addresses = listOf("10.0.0.3:65536", "10.0.0.3:99999", "10.0.0.3:0", "10.0.0.256:80", "999.0.0.1:80")
-        val numbers = listOf("9".repeat(10), "9".repeat(19), "9".repeat(100), "9".repeat(2_000), "1e999999", "-1", "1.5")
+        val numbers = listOf(10, 19, 100, 2_000).map { "9".repeat(it) } + listOf("1e999999", "-1", "1.5")
         val slots = numbers + "2147483647"
         val starts = numbers.drop(1) + Long.MAX_VALUE.toString()
         return addresses.map { valid.replace("10.0.0.1:80", it) } +
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/StoreSyncTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/StoreSyncTest.kt
@@ -111,7 +111,7 @@
         await { state.confirmation.isWithin(CONFIRMATION_LIMIT) }
     }
 
-    /** Guards against API keys that are refused, since weights that can't be read leave the configuration unconfirmed. */
+    /** Guards against API keys that are refused, since unreadable weights leave the configuration unconfirmed. */
     @Test
     fun `an unreadable announcement of weights does not keep the configuration from being followed and confirmed`() {
         putConfiguration(version = 1, routes = 3)
