Relay a refusing status only if the endpoint states a refusal

A status 408, 429 or 503 of a replica that doesn't state that it left the request alone was relayed to the caller of a request that may run once only. The caller takes the status for "not run, try again" (REFUSED).

By the protocol only a response with X-Not-Executed says that a request did not run, whereas callers take the status alone for that. The new test of MisplacedRefusalTest failed before: status 408: expected: <502> but was: <408>

Such a response now counts as lost, unless the request is idempotent and may run again in any case; the caller gets 502, which promises nothing.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointSender.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointSender.kt
@@ -115,6 +115,9 @@
         recordWeightsVersion(endpoint, headers)
         return when {
             headers.isNotExecuted -> handleNotExecuted(endpoint, response.code, headers, expectedWeightsVersion)
+            // The caller would take the status for a statement that the request did not run.
+            response.code in NOT_EXECUTED_STATUSES && route.kind != RequestKind.IDEMPOTENT ->
+                AttemptOutcome.ResponseLost("status_${response.code} without a statement that it was not executed")
             response.isSuccessful && !headers.isSigned -> AttemptOutcome.ResponseLost("success without a signature")
             else -> relay.relay(response, onBodyRead)
         }
@@ -198,6 +201,7 @@
     private companion object {
         const val MISDIRECTED_REQUEST = 421
         const val SERVICE_UNAVAILABLE = 503
+        val NOT_EXECUTED_STATUSES = setOf(408, 429, SERVICE_UNAVAILABLE)
         val REPORT_TIMEOUT = 200.milliseconds
 
         // A replica that is full or changes its weights gets no other requests for this time.
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/MisplacedRefusalTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/MisplacedRefusalTest.kt
@@ -46,6 +46,18 @@
         }
     }
 
+    /** Guards against a caller that is told "not run, try again" by a status whose endpoint has not stated that. */
+    @Test
+    fun `a status that promises that a request did not run is not relayed unless the endpoint states so`() {
+        val statuses = listOf(408, 429, 503)
+        statuses.forEach { status -> endpoints += List(2) { endpointOf("X-Attempt-Id: ATTEMPT", status, SIGNED) } }
+        start(endpoints)
+        statuses.indices.forEach { service ->
+            assertEquals(502, call("once-$service"), "status ${statuses[service]}")
+            assertEquals(1, endpoints.slice(2 * service..2 * service + 1).sumOf { it.receivedRequests.size })
+        }
+    }
+
     private fun endpointOf(idField: String, status: Int, fields: String) = EndpointStandIn { request, socket ->
         val field = idField.replace("ATTEMPT", request.fields["x-attempt-id"].orEmpty())
         val head = "HTTP/1.1 $status X\r\n$field\r\n${fields}Content-Length: 0\r\n\r\n"
@@ -72,6 +84,7 @@
     ).execute().use { it.code }
 
     private companion object {
+        const val SIGNED = "X-Response-Signature: s\r\n"
         const val NOT_EXECUTED = "X-Not-Executed: 1\r\n"
         val refusals = listOf(503 to NOT_EXECUTED, 429 to NOT_EXECUTED, 421 to NOT_EXECUTED, 421 to "")
     }
