--- a/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointSender.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointSender.kt
@@ -1,6 +1,7 @@
 package org.celerywalk.gateway
 
 import okhttp3.Call
+import okhttp3.Response
 import org.celerywalk.endpoint.RegisteredEndpoint
 import org.celerywalk.platform.wire.EndpointResponseHeaders
 import org.celerywalk.platform.wire.ForwardedHeaders
@@ -94,18 +95,34 @@
             is SendResult.NotSent -> AttemptOutcome.NotExecuted(result.cause, wasSent = false)
             is SendResult.ResponseLost -> AttemptOutcome.ResponseLost(result.cause)
             is SendResult.ResponseReceived -> result.response.use { response ->
-                val responseHeaders = EndpointResponseHeaders.decode(response.code) { response.header(it) }
-                recordWeightsVersion(endpoint, responseHeaders)
-                if (responseHeaders.isNotExecuted) {
-                    handleNotExecuted(endpoint, response.code, responseHeaders, expectedWeightsVersion)
-                } else {
-                    relay.relay(response, responseHeaders, onBodyRead)
-                        // Closes the connection without reading the rest of the response.
-                        .also { if (it is AttemptOutcome.ResponseLost) call.cancel() }
-                }
+                classify(endpoint, response, expectedWeightsVersion, onBodyRead)
+                    // Closes the connection without reading the rest of the response.
+                    .also { if (it is AttemptOutcome.ResponseLost) call.cancel() }
             }
         }
 
+    private fun classify(
+        endpoint: RegisteredEndpoint,
+        response: Response,
+        expectedWeightsVersion: Int?,
+        onBodyRead: () -> Unit,
+    ): AttemptOutcome {
+        val headers = EndpointResponseHeaders.decode(response.code) { response.header(it) }
+        // An endpoint may repeat the response to another request. One without an ID is the only one of its connection.
+        if (headers.attemptId != null && headers.attemptId != exchange.caller.attemptId) {
+            return AttemptOutcome.ResponseLost("response to another request")
+        }
+        recordWeightsVersion(endpoint, headers)
+        return when {
+            headers.isNotExecuted -> handleNotExecuted(endpoint, response.code, headers, expectedWeightsVersion)
+            // The caller would take the status for a statement that the request did not run.
+            response.code in NOT_EXECUTED_STATUSES && route.kind != RequestKind.IDEMPOTENT ->
+                AttemptOutcome.ResponseLost("status_${response.code} without a statement that it was not executed")
+            response.isSuccessful && !headers.isSigned -> AttemptOutcome.ResponseLost("success without a signature")
+            else -> relay.relay(response, onBodyRead)
+        }
+    }
+
     private fun recordHealth(endpoint: RegisteredEndpoint, outcome: AttemptOutcome, duration: Duration) {
         val load = state.loads.getOrCreate(endpoint.id)
         when {
@@ -184,6 +201,7 @@
     private companion object {
         const val MISDIRECTED_REQUEST = 421
         const val SERVICE_UNAVAILABLE = 503
+        val NOT_EXECUTED_STATUSES = setOf(408, 429, SERVICE_UNAVAILABLE)
         val REPORT_TIMEOUT = 200.milliseconds
 
         // A replica that is full or changes its weights gets no other requests for this time.
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/ResponseRelay.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/ResponseRelay.kt
@@ -37,11 +37,10 @@
      * A server error is returned instead of relayed, so that the request can be retried. [onBodyRead] is called after
      * each read of the body: once for a buffered response; for a stream, first when its first bytes have arrived.
      */
-    fun relay(response: Response, headers: EndpointResponseHeaders, onBodyRead: () -> Unit): AttemptOutcome = when {
-        headers.attemptId != null && headers.attemptId != exchange.caller.attemptId ->
-            AttemptOutcome.ResponseLost("response to another request")
+    fun relay(response: Response, onBodyRead: () -> Unit): AttemptOutcome = when {
+        exchange.response.isCommitted && !(response.code == OK && response.mayBeEventStream()) ->
+            AttemptOutcome.ResponseLost("status_${response.code} for the rest of a stream")
         route.kind == RequestKind.STREAMING && response.code == OK -> relayStream(response, onBodyRead)
-        exchange.response.isCommitted -> AttemptOutcome.ResponseLost("status_${response.code} for the rest of a stream")
         else -> relayBuffered(response, onBodyRead)
     }
 
@@ -137,3 +136,6 @@
 // True if the end of the body can be told from the end of the connection.
 private fun Response.hasFramedBody(): Boolean =
     body.contentLength() >= 0 || header("Transfer-Encoding").equals("chunked", ignoreCase = true)
+
+private fun Response.mayBeEventStream(): Boolean =
+    header("Content-Type")?.startsWith("text/event-stream", ignoreCase = true) ?: true
--- a/runtime/src/test/kotlin/org/celerywalk/engine/EngineStreamEndTest.kt
+++ b/runtime/src/test/kotlin/org/celerywalk/engine/EngineStreamEndTest.kt
@@ -71,7 +71,7 @@
         val listener = Listener()
         val limits = EngineStreamLimits(threads = 2, idleTimeout = 5.seconds)
         EngineStreams(it.url, connectTimeout = 5.seconds, limits).use { streams ->
-            streams.open("/generate", "{}".toByteArray(), listener)
+            streams.open("/generate", "a", "{}".toByteArray(), listener)
             listener.end.get(10, TimeUnit.SECONDS)
         }
     }
