Count a trial that was sent, also if its caller leaves

Cause: the outcome of a cancelled request was not recorded, so that its trial was withdrawn as if nothing had been sent.

Evidence, before: QuarantineTrialTest, 1 of 1 fails, a trial whose caller leaves [...]: expected: <1> but was: <4>

Change: a cancelled request ends its trial like any other; it still counts as no evidence of a crash.

After: QuarantineTrialTest and DeadlyPromptPartTest pass.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/QuarantineEnforcer.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/QuarantineEnforcer.kt
@@ -61,16 +61,16 @@
         }
 
         /**
-         * Records the [outcome] of a send to [endpoint]; [hasAnswerBegun] is true if any endpoint began to answer.
+         * Records the [outcome] of a send to [endpoint].
          *
-         * If the endpoint crashed before it began to answer, this counts against the request's parts. Blocks while the
-         * endpoint is checked.
+         * If [isCrashPossible], that is, the request was not cancelled and no endpoint began to answer it, a crash of
+         * the endpoint counts against the request's parts. Blocks while the endpoint is checked.
          */
-        fun recordOutcome(endpoint: RegisteredEndpoint, outcome: AttemptOutcome, hasAnswerBegun: Boolean) {
+        fun recordOutcome(endpoint: RegisteredEndpoint, outcome: AttemptOutcome, isCrashPossible: Boolean) {
             if (!outcome.mayHaveExecuted) return
             isAdmitted = false
             isOnTrial = false
-            val isSuspect = outcome is AttemptOutcome.ResponseLost && !hasAnswerBegun && parts.isNotEmpty()
+            val isSuspect = outcome is AttemptOutcome.ResponseLost && isCrashPossible && parts.isNotEmpty()
             if (isSuspect && hasCrashed(endpoint)) recordCrash(endpoint)
         }
 
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/RequestForwarder.kt
@@ -121,7 +121,8 @@
             onBodyRead()
             if (relay.hasAnswerBegun) quarantine.recordAnswer()
         }
-        if (exchange.cancelReason == null) quarantine.recordOutcome(endpoint, outcome, relay.hasAnswerBegun)
+        val isCrashPossible = exchange.cancelReason == null && !relay.hasAnswerBegun
+        quarantine.recordOutcome(endpoint, outcome, isCrashPossible)
         if (outcome.mayHaveExecuted) executions++
         if (outcome is AttemptOutcome.ServerError) lastServerError = outcome.response
         return outcome
