Count the beginning of an answer once per request

Cause: each read of a stream counted as an answer, which clears the part of the crashes since the read before.

Evidence, before: QuarantineTrialTest, 1 of 2 fails, a stream that goes on does not clear a part [...]: expected: <2> but was: <4>

Change: only the beginning of an answer counts, as the quarantine's KDoc and the load test have it. It also spares the lock for all other reads.

After: QuarantineTrialTest passes.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/QuarantineEnforcer.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/QuarantineEnforcer.kt
@@ -29,6 +29,7 @@
             if (request.model == null) emptyList() else request.promptParts.dropLast(1).map { it.id }
         private var isAdmitted = false
         private var isOnTrial = false
+        private var isAnswerRecorded = false
 
         /** Returns the rejection of the request if a part is in quarantine, or null if the request may be sent. */
         fun reject(): AttemptOutcome.Rejected? = if (isAdmitted) null else decide()
@@ -52,8 +53,13 @@
             }
         }
 
-        /** Records that an endpoint began to answer the request. */
+        /**
+         * Records that an endpoint began to answer the request. Further calls have no effect, since a long answer says
+         * nothing about parts that became harmful after it began.
+         */
         fun recordAnswer() {
+            if (isAnswerRecorded) return
+            isAnswerRecorded = true
             state.quarantine.recordAnswer(parts).forEach {
                 log.write("part_cleared", "id" to request.attemptId, "part" to it)
                 onEvidence()
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/QuarantineTrialTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/QuarantineTrialTest.kt
@@ -4,12 +4,15 @@
 import okhttp3.RequestBody.Companion.toRequestBody
 import okhttp3.Response
 import org.junit.jupiter.api.AfterEach
+import java.io.IOException
 import java.net.DatagramPacket
 import java.net.DatagramSocket
 import java.net.InetAddress
 import java.net.Socket
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
@@ -18,6 +21,7 @@
     private val store = StoreStandIn()
     private val gateway = TestGateway(store)
     private val endpoints = List(ENDPOINTS) { EndpointStandIn { request, socket -> answer(request, socket) } }
+    private val sentEvents = AtomicInteger()
     private val ended = CountDownLatch(1)
 
     @AfterEach
@@ -35,6 +39,21 @@
         assertEquals(1, receivedCount("51:5"))
     }
 
+    @Test
+    fun `a stream that goes on does not clear a part that has become harmful since it began`() {
+        start()
+        val stream = thread { runCatching { call("stream", "$FIRST,dead:5,1091:1").use { it.body.string() } } }
+        awaitUntil { receivedCount("1091:1") == 1 }
+        repeat(4) {
+            call("stream", "$FIRST,dead:5,a$it:1").close()
+            val count = sentEvents.get()
+            awaitUntil { sentEvents.get() >= count + 5 }
+        }
+        ended.countDown()
+        stream.join()
+        assertEquals(2, endpoints.count { it.isClosed })
+    }
+
     // The trial of part 51 is due, that of part 52 isn't.
     private fun reportCrashes() {
         val message = """{"name":"g","number":1,"suspects":{"51":{"crashes":{"e-1":9000,"e-2":9000}},
@@ -53,11 +72,27 @@
     private fun answer(request: ReceivedRequest, socket: Socket) {
         val prompt = request.fields["x-prompt-prefix"] ?: return
         when {
+            "1091:" in prompt -> goOn(socket)
+            "dead" in prompt -> endpoints.first { it.address.endsWith(":${socket.localPort}") }.close()
             "51:5" in prompt -> ended.await(5, TimeUnit.SECONDS)
             else -> EndpointStandIn.stream("id: 1\ndata: a\n\n", isComplete = true)(request, socket)
         }
     }
 
+    private fun goOn(socket: Socket) {
+        val output = socket.getOutputStream()
+        output.write("HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n".toByteArray())
+        try {
+            while (!ended.await(50, TimeUnit.MILLISECONDS)) {
+                output.write("f\r\nid: 1\ndata: a\n\n\r\n".toByteArray())
+                sentEvents.incrementAndGet()
+            }
+            output.write("0\r\n\r\n".toByteArray())
+        } catch (_: IOException) {
+            return
+        }
+    }
+
     private fun start() {
         store.put("op", "config", CONFIGURATION)
         endpoints.forEachIndexed { index, endpoint ->
