Take an empty response without length for broken off

Callers would get a 200 with Content-Length: 0 and the signature, a success, when an endpoint sent the head of a response without length or chunks and then failed. For streams this was fixed before; other responses have the same cause: the end of the connection counted as the end of the body.

Change: a 200 without framing and without a byte counts as lost, so that it is sent again where that is allowed. An empty body with a length stays a success (test). One that ends in an orderly way after some bytes can't be told apart.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/ResponseRelay.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/ResponseRelay.kt
@@ -58,9 +58,13 @@
         } catch (e: IOException) {
             return AttemptOutcome.ResponseLost("body: ${e.message}")
         }
-        hasAnswerBegun = true
-        onBodyRead()
-        return sendUnlessServerError(BufferedResponse(response.code, response.fields(), body))
+        return if (body.isEmpty() && response.code == OK && !response.hasFramedBody()) {
+            AttemptOutcome.ResponseLost("response without length ends before its first byte")
+        } else {
+            hasAnswerBegun = true
+            onBodyRead()
+            sendUnlessServerError(BufferedResponse(response.code, response.fields(), body))
+        }
     }
 
     override fun close() = bodyReader.close()
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/BrokenOffStreamTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/BrokenOffStreamTest.kt
@@ -38,6 +38,19 @@
     @Test
     fun `a stream without length that ends before its first event`() = assertBrokenOff("\r\n")
 
+    // Guards against an empty success, also outside streams, from an endpoint that fails between head and body.
+    @Test
+    fun `a buffered response without length that ends before its first byte`() {
+        var response = "\r\n"
+        start { response }
+        CALLERS.forEach { (version, fields) -> assertIncomplete(version, call("once", version, fields)) }
+        response = "Content-Length: 0\r\n\r\n"
+        CALLERS.forEach { (version, fields) ->
+            val received = call("once", version, fields)
+            assertEquals(true, received.isSuccess && received.isComplete, "$version $received")
+        }
+    }
+
     @Test
     fun `an empty stream that its framing completes is complete`() {
         var response = ""
@@ -128,6 +141,8 @@
             {"name":"stream","hostname":"127.0.0.1","prefix":"/stream/","backend":"s","timeout_ms":5000,
              "type":"streaming","max_attempts":1},
             {"name":"resume","hostname":"127.0.0.1","prefix":"/resume/","backend":"s","timeout_ms":5000,
-             "type":"streaming","resumable":true,"max_attempts":1}]}"""
+             "type":"streaming","resumable":true,"max_attempts":1},
+            {"name":"once","hostname":"127.0.0.1","prefix":"/once/","backend":"s","timeout_ms":5000,
+             "type":"idempotent","max_attempts":1}]}"""
     }
 }
