--- a/gateway/src/main/kotlin/org/celerywalk/gateway/QuarantineEnforcer.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/QuarantineEnforcer.kt
@@ -29,6 +29,7 @@
             if (request.model == null) emptyList() else request.promptParts.dropLast(1).map { it.id }
         private var isAdmitted = false
         private var isOnTrial = false
+        private var isAnswerRecorded = false
 
         /** Returns the rejection of the request if a part is in quarantine, or null if the request may be sent. */
         fun reject(): AttemptOutcome.Rejected? = if (isAdmitted) null else decide()
@@ -52,8 +53,13 @@
             }
         }
 
-        /** Records that an endpoint began to answer the request. */
+        /**
+         * Records that an endpoint began to answer the request. Further calls have no effect, since a long answer says
+         * nothing about parts that became harmful after it began.
+         */
         fun recordAnswer() {
+            if (isAnswerRecorded) return
+            isAnswerRecorded = true
             state.quarantine.recordAnswer(parts).forEach {
                 log.write("part_cleared", "id" to request.attemptId, "part" to it)
                 onEvidence()
@@ -61,16 +67,16 @@
         }
 
         /**
-         * Records the [outcome] of a send to [endpoint]; [hasAnswerBegun] is true if any endpoint began to answer.
+         * Records the [outcome] of a send to [endpoint].
          *
-         * If the endpoint crashed before it began to answer, this counts against the request's parts. Blocks while the
-         * endpoint is checked.
+         * If [isCrashPossible], that is, the request was not cancelled and no endpoint began to answer it, a crash of
+         * the endpoint counts against the request's parts. Blocks while the endpoint is checked.
          */
-        fun recordOutcome(endpoint: RegisteredEndpoint, outcome: AttemptOutcome, hasAnswerBegun: Boolean) {
+        fun recordOutcome(endpoint: RegisteredEndpoint, outcome: AttemptOutcome, isCrashPossible: Boolean) {
             if (!outcome.mayHaveExecuted) return
             isAdmitted = false
             isOnTrial = false
-            val isSuspect = outcome is AttemptOutcome.ResponseLost && !hasAnswerBegun && parts.isNotEmpty()
+            val isSuspect = outcome is AttemptOutcome.ResponseLost && isCrashPossible && parts.isNotEmpty()
             if (isSuspect && hasCrashed(endpoint)) recordCrash(endpoint)
         }
 
