Take the ports of test gateways from below the ephemeral range

Cause: a test asked the system for a free port and released it before the gateway took it. Until then the port may be given to any outgoing connection, or to the next of the four requests for a port.

Change: test gateways get ports of 20000 to 31999, which Linux does not give to outgoing connections by default, each only once in a test process.

--- a/gateway/src/test/kotlin/org/celerywalk/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/GatewayTest.kt
@@ -9,7 +9,6 @@
 import java.net.DatagramPacket
 import java.net.DatagramSocket
 import java.net.InetAddress
-import java.net.ServerSocket
 import java.net.Socket
 import java.nio.channels.ServerSocketChannel
 import java.util.concurrent.CompletableFuture
@@ -33,7 +32,7 @@
 
     // Among idle endpoints, the gateway prefers the one with the most slots.
     private var firstEndpointSlots = 4
-    private val ports = List(4) { ServerSocket(0).use { it.localPort } }
+    private val ports = TestPorts.take(4)
 
     @AfterEach
     fun close() {
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/TestGateway.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/TestGateway.kt
@@ -2,7 +2,6 @@
 
 import okhttp3.OkHttpClient
 import okhttp3.Request
-import java.net.ServerSocket
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.locks.LockSupport
 
@@ -35,7 +34,7 @@
     private val store: StoreStandIn,
     private val bounds: GatewayBounds.() -> GatewayBounds = { this },
 ) {
-    private val ports = List(4) { ServerSocket(0).use { it.localPort } }
+    private val ports = TestPorts.take(4)
     private lateinit var daemon: GatewayDaemon
 
     /** Port for callers. */
