Let two tests of the quarantine wait for what they rely on

DeadlyPromptPartTest, a part that other gateways saw, failed once with "expected: <0> but was: <1>": it sent a harmful request while the peer's message still waited for the next read. It now waits for another part of the same message, which crashes nothing.

QuarantineTrialTest, a stream that goes on, failed once with "expected: <2> but was: <3>": the beginning of the stream's answer could be recorded after the first crash, which it then cleared. It now waits until the caller has the first event and the endpoint has sent more. The checks are as strict as before.

--- a/gateway/src/test/kotlin/org/celerywalk/gateway/DeadlyPromptPartTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/DeadlyPromptPartTest.kt
@@ -51,8 +51,12 @@
     @Test
     fun `a part that other gateways saw under two crashes is refused by this one too`() {
         start()
-        sendAsPeer("""{"name":"p","number":1,"suspects":{"dead":{"crashes":{"e-1":900,"e-2":100}}}}""")
-        awaitUntil { status("stream", "$FIRST,e:5,a:1") == 200 && status("stream", "$FIRST,dead:5,a:1") == 503 }
+        val parts = """"dead":{"crashes":{"e-1":900,"e-2":100}},"51":{"crashes":{"e-3":900,"e-4":100}}"""
+        sendAsPeer("""{"name":"p","number":1,"suspects":{$parts}}""")
+        // Part 51 crashes no endpoint and shows that the message has arrived.
+        awaitUntil { status("stream", "$FIRST,51:5,a:1") == 503 }
+        assertEquals(503, status("stream", "$FIRST,dead:5,a:1"))
+        assertEquals(200, status("stream", "$FIRST,e:5,a:1"))
         assertEquals(0, crashedCount())
     }
 
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/QuarantineTrialTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/QuarantineTrialTest.kt
@@ -9,6 +9,7 @@
 import java.net.DatagramSocket
 import java.net.InetAddress
 import java.net.Socket
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
@@ -42,18 +43,31 @@
     @Test
     fun `a stream that goes on does not clear a part that has become harmful since it began`() {
         start()
-        val stream = thread { runCatching { call("stream", "$FIRST,dead:5,1091:1").use { it.body.string() } } }
-        awaitUntil { receivedCount("1091:1") == 1 }
+        val firstEvent = CompletableFuture<String?>()
+        val stream = thread {
+            runCatching {
+                call("stream", "$FIRST,dead:5,1091:1").use {
+                    firstEvent.complete(it.body.source().readUtf8Line())
+                    it.body.string()
+                }
+            }
+        }
+        assertEquals("id: 1", firstEvent.get(30, TimeUnit.SECONDS))
+        awaitMoreEvents()
         repeat(4) {
             call("stream", "$FIRST,dead:5,a$it:1").close()
-            val count = sentEvents.get()
-            awaitUntil { sentEvents.get() >= count + 5 }
+            awaitMoreEvents()
         }
         ended.countDown()
         stream.join()
         assertEquals(2, endpoints.count { it.isClosed })
     }
 
+    private fun awaitMoreEvents() {
+        val count = sentEvents.get()
+        awaitUntil { sentEvents.get() >= count + 5 }
+    }
+
     // The trial of part 51 is due, that of part 52 isn't.
     private fun reportCrashes() {
         val message = """{"name":"g","number":1,"suspects":{"51":{"crashes":{"e-1":9000,"e-2":9000}},
