Report from the agent that an engine crashed under an attempt

Cause: a generation without a terminal event was reported as engine_failed, whatever ended it.

Cut streams, silent engines, changes of weights and a stop or drain of the agent are reported as before, and so is the execution. HttpEngineTest states that an ended engine refuses connections although the client holds idle ones.

--- a/agent/src/main/kotlin/org/celerywalk/agent/Generation.kt
+++ b/agent/src/main/kotlin/org/celerywalk/agent/Generation.kt
@@ -5,16 +5,20 @@
 import org.celerywalk.engine.EngineError
 import org.celerywalk.engine.EngineListener
 import org.celerywalk.engine.EngineRequest
+import org.celerywalk.engine.EngineStatus
 import org.celerywalk.error.Execution
 import org.celerywalk.protocol.GenerateEvent
 import org.celerywalk.protocol.GenerateFinished
 import org.celerywalk.protocol.GenerateRequest
 import org.celerywalk.protocol.GenerateStarted
+import org.celerywalk.stream.StreamEvent
+import java.util.concurrent.CompletableFuture
 
 /**
  * Runs one attempt on one replica and relays the engine's events to the caller.
  *
  * @property recheck repeats the admission check when the attempt leaves the queue; its result is final.
+ * @property isPlannedEnd returns true while the agent or its endpoint is being stopped.
  * @property onEnd called once, when the attempt has ended.
  */
 internal class Generation(
@@ -22,9 +26,11 @@
     private val replica: Replica,
     private val sink: EventSink,
     private val recheck: () -> Refusal?,
+    private val isPlannedEnd: () -> Boolean,
     private val onEnd: (Generation) -> Unit,
 ) : EngineListener {
     private var engineCall: EngineCall? = null
+    private var statusAtSend: EngineStatus? = null
     private var nextTokenOffset = request.resumeOffset
     private var isDispatched = false
     private var hasStarted = false
@@ -47,6 +53,7 @@
     }
 
     private fun send() {
+        statusAtSend = replica.status
         pendingPrefillTokens = request.estimatePromptTokens()
         replica.load.addPrefillTokens(pendingPrefillTokens)
         val startedCall = replica.engine.generate(request.toEngineRequest(), this)
@@ -108,7 +115,15 @@
             error.isNotExecuted -> Execution.NOT_RUN
             else -> Execution.UNKNOWN
         }
-        fail(Refusal("engine_failed", error.message, execution))
+        // Only a crash before the first token says something about the prompt.
+        val hasTokens = nextTokenOffset > request.resumeOffset
+        val mayBeCrash = !error.isNotExecuted && !hasTokens && !isPlannedEnd()
+        val crashCheck =
+            if (mayBeCrash) replica.checkCrash(statusAtSend) else CompletableFuture.completedFuture(false)
+        crashCheck.thenAccept { hasCrashed ->
+            val code = if (hasCrashed) StreamEvent.Refused.ENGINE_CRASHED else "engine_failed"
+            fail(Refusal(code, error.message, execution))
+        }
     }
 
     private fun fail(refusal: Refusal) {
--- a/agent/src/main/kotlin/org/celerywalk/agent/GenerationHandler.kt
+++ b/agent/src/main/kotlin/org/celerywalk/agent/GenerationHandler.kt
@@ -30,9 +30,14 @@
             val message = "unknown replica '${request.replica}', expected one of ${replicas.keys}"
             sink.finish(Refusal("unknown_replica", message).toEvent(null))
         } else {
-            val generation = Generation(request, replica, sink, { check(request, replica, rejectsWork = false) }) {
-                activeGenerations.remove(it)
-            }
+            val generation = Generation(
+                request,
+                replica,
+                sink,
+                recheck = { check(request, replica, rejectsWork = false) },
+                isPlannedEnd = isRejectingWork,
+                onEnd = { activeGenerations.remove(it) },
+            )
             observer.setOnCancelHandler { generation.cancel() }
             admit(request, replica, generation, sink)
         }
--- a/agent/src/main/kotlin/org/celerywalk/agent/Replica.kt
+++ b/agent/src/main/kotlin/org/celerywalk/agent/Replica.kt
@@ -4,6 +4,7 @@
 import org.celerywalk.engine.Engine
 import org.celerywalk.engine.EngineStatus
 import org.celerywalk.protocol.ReplicaSummary
+import java.util.concurrent.CompletableFuture
 
 /** State of one model replica: its engine's last status, its load and its resident cache pieces. */
 internal class Replica(val name: String, val engine: Engine, maxQueued: Int) {
@@ -14,6 +15,7 @@
 
     val load = ReplicaLoad(maxQueued) { status?.capacity ?: 1 }
     val cache = ReplicaCache(engine)
+    private val crashCheck = CrashCheck(engine)
 
     /** Model and weights as the last status reported them, null if [status] is null. */
     val reportedEngine: ReportedEngine?
@@ -26,6 +28,17 @@
         load.startQueued()
     }
 
+    /** Returns whether the engine has crashed since it had the status [before]; if so, forgets its status. */
+    fun checkCrash(before: EngineStatus?): CompletableFuture<Boolean> =
+        if (before == null) {
+            CompletableFuture.completedFuture(false)
+        } else {
+            crashCheck.hasCrashed(before).thenApply { hasCrashed ->
+                if (hasCrashed && status?.incarnation == before.incarnation) updateStatus(null)
+                hasCrashed
+            }
+        }
+
     fun summary(isAccepting: Boolean): ReplicaSummary {
         val currentStatus = status
         return ReplicaSummary.newBuilder()
--- a/agent/src/test/kotlin/org/celerywalk/agent/AgentDaemonTest.kt
+++ b/agent/src/test/kotlin/org/celerywalk/agent/AgentDaemonTest.kt
@@ -11,6 +11,7 @@
 import org.celerywalk.configuration.EndpointState
 import org.celerywalk.configuration.PlatformSection
 import org.celerywalk.configuration.SecuritySection
+import org.celerywalk.engine.EngineError
 import org.celerywalk.protocol.BarRequest
 import org.celerywalk.protocol.Execution
 import org.celerywalk.protocol.GenerateEvent
@@ -79,6 +80,41 @@
         assertTrue(engine.cancelLatch.await(5, TimeUnit.SECONDS))
     }
 
+    @Test
+    fun `an attempt that ends with its engine is reported as a crash, one whose stream was cut is not`() {
+        // Guards against prompts that crash one engine after the other, since a crash looks like a lost connection.
+        val endings: List<Pair<FakeEngine.() -> Unit, String>> = listOf(
+            Pair({ hasEnded = true }, "engine_crashed"),
+            Pair({ incarnation = "e2" }, "engine_crashed"),
+            Pair({}, "engine_failed"),
+            Pair({ incarnation = "e2".also { weights = "w2" } }, "engine_failed"),
+        )
+        endings.forEach { (end, code) ->
+            lateinit var engine: FakeEngine
+            engine = FakeEngine { _, listener ->
+                engine.end()
+                listener.onFailed(EngineError("generate", "e", "the stream was cut", isNotExecuted = false))
+            }
+            val agent = startAgent(engine)
+            val refusal = agent.generate(agent.generation()).next().refused
+            assertEquals(code to Execution.UNKNOWN, refusal.code to refusal.execution)
+        }
+    }
+
+    @Test
+    fun `an engine that ends after the first token is not reported as a crash`() {
+        lateinit var engine: FakeEngine
+        engine = FakeEngine { request, listener ->
+            listener.onStarted("e1", request.weights, promptTokens = 2, cachedTokens = 0)
+            listener.onTokens(request.resumeOffset, 1, "one")
+            engine.hasEnded = true
+            listener.onFailed(EngineError("generate", "e", "the stream was cut", isNotExecuted = false))
+        }
+        val agent = startAgent(engine)
+        val refusal = agent.generate(agent.generation()).asSequence().last().refused
+        assertEquals("engine_failed" to Execution.RAN, refusal.code to refusal.execution)
+    }
+
     @Test
     fun `a retried booking gets the recorded answer without a second service call`() {
         val agent = startAgent()
--- a/agent/src/test/kotlin/org/celerywalk/agent/FakeEngine.kt
+++ b/agent/src/test/kotlin/org/celerywalk/agent/FakeEngine.kt
@@ -1,6 +1,7 @@
 package org.celerywalk.agent
 
 import arrow.core.Either
+import arrow.core.left
 import arrow.core.right
 import org.celerywalk.engine.CacheEvents
 import org.celerywalk.engine.Engine
@@ -19,7 +20,12 @@
     private val capacity: Int = 8,
     private val respond: (EngineRequest, EngineListener) -> Unit = ::answerThreeTokens,
 ) : Engine {
+    @Volatile
     var incarnation = "e1"
+
+    /** While true, the engine refuses connections. */
+    @Volatile
+    var hasEnded = false
     val cancelLatch = CountDownLatch(1)
     val orders = mutableListOf<EngineOrder>()
     private fun events() = CacheEvents(incarnation, 0, emptyList())
@@ -32,7 +38,12 @@
     }
 
     override fun status(): CompletableFuture<Either<EngineError, EngineStatus>> =
-        completedFuture(EngineStatus(incarnation, "m", weights, null, 0, 0, capacity, 0))
+        if (hasEnded) {
+            val error = EngineError("status", "e", "refused", isNotExecuted = true, isConnectionRefused = true)
+            CompletableFuture.completedFuture(error.left())
+        } else {
+            completedFuture(EngineStatus(incarnation, "m", weights, null, 0, 0, capacity, 0))
+        }
 
     override fun cacheEvents(after: Long): CompletableFuture<Either<EngineError, CacheEvents>> =
         completedFuture(events())
--- a/library/src/main/kotlin/org/celerywalk/stream/StreamEvent.kt
+++ b/library/src/main/kotlin/org/celerywalk/stream/StreamEvent.kt
@@ -29,5 +29,10 @@
         public val execution: Execution,
         public val retryAfter: Duration? = null,
         public val redirect: String? = null,
-    ) : StreamEvent
+    ) : StreamEvent {
+        public companion object {
+            /** Code of an agent whose engine ended under the attempt, before the first token and unplanned. */
+            public const val ENGINE_CRASHED: String = "engine_crashed"
+        }
+    }
 }
--- a/runtime/src/main/kotlin/org/celerywalk/engine/Engine.kt
+++ b/runtime/src/main/kotlin/org/celerywalk/engine/Engine.kt
@@ -121,10 +121,16 @@
 /** Order to load weights; [fencingNumber] is its fencing token. */
 public data class EngineOrder(public val model: String, public val weights: String, public val fencingNumber: Long)
 
-/** A failed call to an engine. [isNotExecuted] is true if the engine has not executed and will not execute the call. */
+/**
+ * A failed call to an engine.
+ *
+ * @property isNotExecuted true if the engine has not executed and will not execute the call.
+ * @property isConnectionRefused true if nothing listens at the engine's address.
+ */
 public data class EngineError(
     override val step: String,
     override val peer: String,
     override val message: String,
     public val isNotExecuted: Boolean,
+    public val isConnectionRefused: Boolean = false,
 ) : StepError
--- a/runtime/src/main/kotlin/org/celerywalk/engine/HttpEngine.kt
+++ b/runtime/src/main/kotlin/org/celerywalk/engine/HttpEngine.kt
@@ -102,7 +102,7 @@
         step: String,
         request: Request.Builder,
     ): CompletableFuture<Either<EngineError, BufferedHttpResponse>> = caller.call(request).thenApply { result ->
-        result.mapLeft { EngineError(step, baseUrl, it.message, isNotExecuted = !it.mayBeSent) }
+        result.mapLeft { EngineError(step, baseUrl, it.message, !it.mayBeSent, it.isConnectionRefused) }
             .flatMap { if (it.status in SUCCESS) it.right() else refusal(step, baseUrl, it.status, it.body).left() }
     }
 
--- a/runtime/src/main/kotlin/org/celerywalk/http/HttpCaller.kt
+++ b/runtime/src/main/kotlin/org/celerywalk/http/HttpCaller.kt
@@ -14,6 +14,7 @@
 import okhttp3.Response
 import okio.Buffer
 import java.io.IOException
+import java.net.ConnectException
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.ThreadPoolExecutor
@@ -28,8 +29,13 @@
  * A call without a complete response.
  *
  * @property mayBeSent true if part of the request may have reached the peer.
+ * @property isConnectionRefused true if nothing listens at the peer's address.
  */
-internal data class HttpFailure(val message: String, val mayBeSent: Boolean)
+internal data class HttpFailure(
+    val message: String,
+    val mayBeSent: Boolean,
+    val isConnectionRefused: Boolean = false,
+)
 
 /**
  * HTTP client for one peer. It sends each request once, without retries or redirects, on a bounded number of threads.
@@ -92,7 +98,7 @@
             object : Callback {
                 override fun onFailure(call: Call, e: IOException) {
                     val message = "no response: ${e.message ?: e.javaClass.simpleName}"
-                    result.complete(HttpFailure(message, tracker.isSendStarted.get()).left())
+                    result.complete(HttpFailure(message, tracker.isSendStarted.get(), e is ConnectException).left())
                 }
 
                 override fun onResponse(call: Call, response: Response) {
--- a/standins/src/test/kotlin/org/celerywalk/engine/HttpEngineTest.kt
+++ b/standins/src/test/kotlin/org/celerywalk/engine/HttpEngineTest.kt
@@ -60,6 +60,15 @@
         call.cancel()
     }
 
+    @Test
+    fun `an engine that has ended refuses connections, one that refuses a request does not`() {
+        // Guards against an agent that takes the end of its engine for a cut connection, or the other way round.
+        val refusedOrder = engine.order(EngineOrder("m", "", 0)).join()
+        assertFalse(refusedOrder.leftOrNull()?.isConnectionRefused ?: false)
+        standIn.close()
+        waitUntil("the connection is refused") { engine.status().join().leftOrNull()?.isConnectionRefused ?: false }
+    }
+
     @Test
     fun `a resumed completion continues at the resume offset`() {
         val resumed =
