Refuse chat requests whose prompt crashes engines

What callers saw: a prompt that crashes each engine that begins to answer it ended up to four engines with one request, and four more with each repeat; sound requests on the same engines lost their work each time.

The entry took a crash for a fault of the replica alone, so it sent the request to the next one, and kept nothing for the next request.

Change: each attempt is checked by PromptPartQuarantine, and engine_crashed before any token counts against the prompt's parts. Parts are all prefixes in whole pieces and the whole prompt. The whole prompt counts because callers repeat it, and because it is all that the prompts of one failed request have in common: until another prompt with the same pieces crashes an engine, those are not refused. Refused requests get prompt_part_quarantined at once with the time of the next trial: 503 and not_run if nothing was sent, 502 and the execution of the earlier attempts otherwise.

--- a/entry/src/main/kotlin/org/celerywalk/entry/EntryComponents.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/EntryComponents.kt
@@ -24,6 +24,7 @@
 import org.celerywalk.key.RequestAuthenticator
 import org.celerywalk.limit.MemoryBudget
 import org.celerywalk.protocol.ReplicaSummary
+import org.celerywalk.quarantine.PromptPartQuarantine
 import org.celerywalk.rpc.openChannel
 import org.celerywalk.settings.EntrySettings
 import org.tinylog.kotlin.Logger
@@ -49,8 +50,16 @@
     )
     private val openStreams = OpenStreams(authenticator::refusalReason)
     private val replicaSelector = ReplicaSelector(endpoints, dependencies.endpointChooser)
+    private val quarantine = PromptPartQuarantine(dependencies.timeSource)
     private val relayManager = RelayManager(
-        RelayContext(replicaSelector, metrics, settings.limits, dependencies.timeSource, dependencies.wallClock),
+        RelayContext(
+            replicaSelector,
+            quarantine,
+            metrics,
+            settings.limits,
+            dependencies.timeSource,
+            dependencies.wallClock,
+        ),
         openStreams,
     )
     private val accessControl = AccessControl(authenticator, lifecycle::isAcceptingRequests)
@@ -81,6 +90,7 @@
         metrics.registerGauge("celerywalk.open.requests") { routeRunner.openRequestCount }
         metrics.registerGauge("celerywalk.replicas") { endpoints.activeReplicas().size }
         metrics.registerGauge("celerywalk.open.streams") { openStreams.size }
+        metrics.registerGauge("celerywalk.quarantined.parts") { quarantine.quarantinedCount }
         metrics.registerGauge("celerywalk.rate.share", dependencies.rateShare)
     }
 
--- a/entry/src/main/kotlin/org/celerywalk/entry/EntryMetrics.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/EntryMetrics.kt
@@ -49,6 +49,18 @@
         )
     }
 
+    override fun onEngineCrash(generation: Generation, target: SelectedReplica, quarantinedParts: Int) {
+        incrementCounter("celerywalk.engine.crashes", "model", generation.model.name)
+        Logger.warn(
+            "event=engine_crashed request={} account={} endpoint={} replica={} quarantined_parts={}",
+            generation.requestId,
+            generation.caller.clientAccount,
+            target.replica.endpoint,
+            target.replica.replica,
+            quarantinedParts,
+        )
+    }
+
     override fun onFirstToken(generation: Generation, elapsed: Duration) {
         Timer.builder("celerywalk.first.token")
             .tag("model", generation.model.name)
--- a/entry/src/main/kotlin/org/celerywalk/entry/chat/Relay.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/chat/Relay.kt
@@ -32,6 +32,7 @@
     private val timeSource = context.timeSource
     private val stream = AnswerStream()
     private val attempts = AttemptSequence(generation, replicaSelector, observer)
+    private val quarantine = GenerationQuarantine(generation, context.quarantine, observer)
     private val startedAt = timeSource.markNow()
     private var lastProgressAt: ComparableTimeMark = startedAt
     private var lastWriteAt: ComparableTimeMark = startedAt
@@ -81,7 +82,7 @@
             startedAt.elapsedNow() > limits.requestTimeout ->
                 takeStep(stream.endWithFailure(timeoutRefusal(limits.requestTimeout)))
             !isPaused && lastProgressAt.elapsedNow() > limits.endpointTimeout ->
-                onCallLost(attempt, timeoutRefusal(limits.endpointTimeout))
+                onRefused(attempt, timeoutRefusal(limits.endpointTimeout))
             lastWriteAt.elapsedNow() > KEEP_ALIVE_INTERVAL && response.pendingBytes == 0 -> {
                 lastWriteAt = timeSource.markNow()
                 writer.keepAlive()
@@ -92,7 +93,11 @@
     private fun startAttempt(redirect: String?) {
         isPaused = false
         lastProgressAt = timeSource.markNow()
-        if (!attempts.startNext(stream, redirect, generation.deadlineMillis, ::onEvent, ::onCallLost)) {
+        val refusal = quarantine.refusal()
+        if (refusal != null) {
+            takeStep(stream.endWithFailure(refusal))
+        } else if (!attempts.startNext(stream, redirect, generation.deadlineMillis, ::onEvent, ::onRefused)) {
+            quarantine.withdrawTrial()
             takeStep(stream.endWithFailure())
         }
     }
@@ -106,7 +111,11 @@
         if (attempt !== attempts.current || hasEnded) return
         lastProgressAt = timeSource.markNow()
         if (event is StreamEvent.Started) replicaSelector.recordAnswer(attempt.target, event.cachedTokens)
-        if (event != null) takeStep(stream.handleEvent(message.attemptId, event))
+        when {
+            event == null || message.attemptId != attempt.id -> Unit
+            event is StreamEvent.Refused -> onRefused(attempt, event)
+            else -> takeStep(stream.handleEvent(attempt.id, event))
+        }
         if (attempt === attempts.current && !hasEnded) {
             isPaused = response.pendingBytes > limits.streamBufferBytes
             if (!isPaused) attempt.requestNextEvent()
@@ -114,8 +123,10 @@
     }
 
     @Synchronized
-    private fun onCallLost(attempt: Attempt, event: StreamEvent.Refused) {
-        if (attempt === attempts.current && !hasEnded) takeStep(stream.handleEvent(attempt.id, event))
+    private fun onRefused(attempt: Attempt, event: StreamEvent.Refused) {
+        if (attempt !== attempts.current || hasEnded) return
+        quarantine.recordRefusal(attempt.target, event, hasForwardedText)
+        takeStep(stream.handleEvent(attempt.id, event))
     }
 
     private fun takeStep(step: StreamStep) {
@@ -129,9 +140,11 @@
             is StreamStep.Forward -> {
                 if (!hasForwardedText) observer.onFirstToken(generation, startedAt.elapsedNow())
                 hasForwardedText = true
+                quarantine.recordAnswer()
                 writer.forward(step.text)
             }
             is StreamStep.Complete -> {
+                quarantine.recordAnswer()
                 writer.complete(stream.text, step.reason, Usage(promptTokens, cachedTokens, stream.offset))
                 end(RelayEnd.COMPLETE, Execution.RAN)
             }
--- a/entry/src/test/kotlin/org/celerywalk/entry/EntryFixture.kt
+++ b/entry/src/test/kotlin/org/celerywalk/entry/EntryFixture.kt
@@ -34,12 +34,14 @@
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
 
 /** Runs an entry in front of fake agents. */
 class EntryFixture(
     vararg val agents: FakeAgent,
     httpPort: Int = 0,
     limits: EntryLimits = EntryLimits(),
+    timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
 ) : AutoCloseable {
     val table = FakeTable()
 
@@ -71,6 +73,7 @@
             { areKeysConfirmed },
             admission,
             endpointChooser,
+            timeSource = timeSource,
         )
     }
     private val client = OkHttpClient()
@@ -93,8 +96,8 @@
         await { hasAllReplicas() }
     }
 
-    fun chat(stream: Boolean, key: String = KEY, model: String = FakeAgent.MODEL): Response =
-        post("/v1/chat/completions", chatBody(stream, model), "Authorization" to "Bearer $key")
+    fun chat(stream: Boolean, key: String = KEY, model: String = FakeAgent.MODEL, text: String = "hello"): Response =
+        post("/v1/chat/completions", chatBody(stream, model, text), "Authorization" to "Bearer $key")
 
     fun post(path: String, json: String, vararg headers: Pair<String, String>): Response {
         val request = Request.Builder().url("http://127.0.0.1:${daemon.httpPort}$path")
--- a/entry/src/test/kotlin/org/celerywalk/entry/FakeAgent.kt
+++ b/entry/src/test/kotlin/org/celerywalk/entry/FakeAgent.kt
@@ -46,6 +46,9 @@
 
     /** Replies to requests to bar an attempt; null fails the call without a reply. */
     var onBar: (BarRequest) -> BarReply? = { BarReply.newBuilder().setExecution(Execution.NOT_RUN).build() }
+
+    @Volatile
+    private var engineStarts = 1
     private val server: Server = NettyServerBuilder.forAddress(InetSocketAddress("127.0.0.1", 0))
         .intercept(SharedSecretServer(SECRET))
         .addService(definition())
@@ -57,6 +60,16 @@
         server.shutdownNow()
     }
 
+    /** Ends [stream] as if the engine had crashed and started again. */
+    fun crashEngine(stream: FakeStream) {
+        engineStarts++
+        stream.sendRefused(Execution.UNKNOWN, code = "engine_crashed", summary = summary())
+    }
+
+    private fun summary() = ReplicaSummary.newBuilder().setReplica(replica).setModel(MODEL).setWeights(WEIGHTS)
+        .setEngineIncarnation("$replica-engine-$engineStarts").setAccepting(true).setQueuedTokens(queuedTokens)
+        .setCapacity(8).build()
+
     private fun definition() = ServerServiceDefinition.builder(AgentMethods.SERVICE)
         .addMethod(AgentMethods.HELLO, ServerCalls.asyncUnaryCall(::hello))
         .addMethod(AgentMethods.GENERATE, ServerCalls.asyncServerStreamingCall(::generate))
@@ -72,10 +85,7 @@
             HelloReply.newBuilder()
                 .setProtocolVersion(PROTOCOL_VERSION)
                 .setReceiver(identity)
-                .addReplicas(
-                    ReplicaSummary.newBuilder().setReplica(replica).setModel(MODEL).setWeights(WEIGHTS)
-                        .setAccepting(true).setQueuedTokens(queuedTokens).setCapacity(8),
-                )
+                .addReplicas(summary())
                 .build(),
         )
         helloReceived.countDown()
@@ -137,13 +147,16 @@
         observer.onCompleted()
     }
 
-    fun sendRefused(execution: Execution, redirect: String = "") {
-        send {
-            setRefused(
-                GenerateRefused.newBuilder().setCode("full").setMessage("the queue is full").setExecution(execution)
-                    .setRetryAfterMillis(1500).setRedirectEndpoint(redirect),
-            )
-        }
+    fun sendRefused(
+        execution: Execution,
+        redirect: String = "",
+        code: String = "full",
+        summary: ReplicaSummary? = null,
+    ) {
+        val refused = GenerateRefused.newBuilder().setCode(code).setMessage("the queue is full").setExecution(execution)
+            .setRetryAfterMillis(1500).setRedirectEndpoint(redirect)
+        summary?.let(refused::setSummary)
+        send { setRefused(refused) }
         observer.onCompleted()
     }
 
--- a/library/src/main/kotlin/org/celerywalk/cache/PieceNames.kt
+++ b/library/src/main/kotlin/org/celerywalk/cache/PieceNames.kt
@@ -23,19 +23,22 @@
     /** Returns the names of all complete pieces of [prompt], in order. */
     public fun forPrompt(prompt: String): List<Long> {
         val bytes = prompt.toByteArray()
-        val names = ArrayList<Long>(bytes.size / pieceBytes)
-        var name = seed
-        for (start in 0..bytes.size - pieceBytes step pieceBytes) {
-            name = nextName(name, bytes, start)
-            names += name
-        }
-        return names
+        return names(bytes, 0..bytes.size - pieceBytes step pieceBytes)
     }
 
+    /** Returns the names of all pieces of [prompt], in order; the last name stands for the whole prompt. */
+    public fun forWholePrompt(prompt: String): List<Long> {
+        val bytes = prompt.toByteArray()
+        return names(bytes, bytes.indices step pieceBytes)
+    }
+
+    private fun names(bytes: ByteArray, starts: IntProgression): List<Long> =
+        starts.runningFold(seed) { name, start -> nextName(name, bytes, start) }.drop(1)
+
     private fun nextName(previousName: Long, bytes: ByteArray, start: Int): Long {
         val digest = MessageDigest.getInstance(HASH_ALGORITHM)
         digest.update(ByteBuffer.allocate(Long.SIZE_BYTES).putLong(previousName).flip())
-        digest.update(bytes, start, pieceBytes)
+        digest.update(bytes, start, minOf(pieceBytes, bytes.size - start))
         return ByteBuffer.wrap(digest.digest()).getLong()
     }
 
--- a/library/src/test/kotlin/org/celerywalk/cache/PieceNamesTest.kt
+++ b/library/src/test/kotlin/org/celerywalk/cache/PieceNamesTest.kt
@@ -17,6 +17,17 @@
         assertTrue(first[2] != second[2])
     }
 
+    @Test
+    fun `the names of a whole prompt include its incomplete last piece`() {
+        val prompt = "aaaaaaaabbbbbbbbcc"
+        val wholeNames = names.forWholePrompt(prompt)
+        assertEquals(3, wholeNames.size)
+        assertEquals(names.forPrompt(prompt), wholeNames.take(2))
+        assertTrue(wholeNames.last() != names.forWholePrompt("aaaaaaaabbbbbbbbc").last())
+        assertEquals(names.forPrompt("aaaaaaaa"), names.forWholePrompt("aaaaaaaa"))
+        assertEquals(emptyList(), names.forWholePrompt(""))
+    }
+
     @Test
     fun `equal prompts for different accounts, models or weights share no piece name`() {
         val prompt = "a".repeat(64)
