--- a/entry/src/main/kotlin/org/celerywalk/entry/EntryComponents.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/EntryComponents.kt
@@ -90,7 +90,7 @@
         metrics.registerGauge("celerywalk.open.requests") { routeRunner.openRequestCount }
         metrics.registerGauge("celerywalk.replicas") { endpoints.activeReplicas().size }
         metrics.registerGauge("celerywalk.open.streams") { openStreams.size }
-        metrics.registerGauge("celerywalk.quarantined.parts") { quarantine.quarantinedCount }
+        metrics.registerGauge("celerywalk.quarantined.parts") { quarantine.quarantinedParts.size }
         metrics.registerGauge("celerywalk.rate.share", dependencies.rateShare)
     }
 
