Let any instance try a part whose owner does not

Change: if the owner has not begun the trial for a second backoff, the next request anywhere is the trial.

--- a/library/src/main/kotlin/org/celerywalk/quarantine/PromptPartQuarantine.kt
+++ b/library/src/main/kotlin/org/celerywalk/quarantine/PromptPartQuarantine.kt
@@ -69,8 +69,9 @@
 
     private fun decide(quarantinedParts: List<String>, isTrialOwner: (String) -> Boolean): QuarantineDecision {
         val waitingParts = quarantinedParts.filterNot { part ->
-            val isDue = suspects.getOrAdd(part).timeUntilTrial() <= Duration.ZERO && isTrialOwner(part)
-            isDue || isWorthTryingNow(part, quarantinedParts)
+            val suspect = suspects.getOrAdd(part)
+            val isDue = suspect.timeUntilTrial() <= Duration.ZERO && isTrialOwner(part)
+            isDue || suspect.isTrialOverdue || isWorthTryingNow(part, quarantinedParts)
         }
         if (waitingParts.isNotEmpty()) {
             val (part, timeUntilTrial) = waitingParts.map { it to suspects.getOrAdd(it).timeUntilTrial() }
--- a/library/src/main/kotlin/org/celerywalk/quarantine/SuspectPart.kt
+++ b/library/src/main/kotlin/org/celerywalk/quarantine/SuspectPart.kt
@@ -73,6 +73,9 @@
         return age > if (crashCount == 0) CLEARED_RETENTION else SUSPICION_RETENTION
     }
 
+    /** True if the instance that owns the trial has not begun it for a second backoff; it may get no such request. */
+    val isTrialOverdue: Boolean get() = timeUntilTrial() <= -backoff()
+
     fun toEvidence(): PartEvidence = PartEvidence(
         crashedAt.mapValues { (_, at) -> at.elapsedNow() },
         ownAnswerAt?.elapsedNow(),
