Check a silent endpoint only once after a lost response

A caller whose endpoint's machine had lost power waited for two connect timeouts (625 ms measured by the review) before its request was sent again or failed, which may exceed the route's timeout.

Change: only an endpoint that accepted the first connection is asked again.

After: DeadlyPromptPartTest and the tests of the quarantine pass.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointClient.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointClient.kt
@@ -110,30 +110,31 @@
     }
 
     /**
-     * Returns true if the machine at [address] is up and nothing listens there, as after the end of a process. Blocks
-     * the thread, at most for a few hundred milliseconds.
+     * Connects to the endpoint at [address] and returns true if it refuses, as after the end of its process. Blocks the
+     * thread, for the connect timeout if the machine is silent.
      */
-    fun isPortClosed(address: String): Boolean {
+    fun refusesConnections(address: String): Boolean {
+        val firstAnswer = tryConnect(address)
         // The connections of a process may end shortly before its listening socket.
-        repeat(PORT_CHECKS) { check ->
-            if (check > 0) LockSupport.parkNanos(PORT_CHECK_INTERVAL.inWholeNanoseconds)
-            if (refusesConnection(address)) return true
-        }
-        return false
+        if (firstAnswer == ConnectAnswer.ACCEPTED) LockSupport.parkNanos(SECOND_CONNECT_DELAY.inWholeNanoseconds)
+        val answer = if (firstAnswer == ConnectAnswer.ACCEPTED) tryConnect(address) else firstAnswer
+        return answer == ConnectAnswer.REFUSED
     }
 
-    private fun refusesConnection(address: String): Boolean {
+    private enum class ConnectAnswer { ACCEPTED, REFUSED, NONE }
+
+    private fun tryConnect(address: String): ConnectAnswer {
         val (host, port) = address.split(':')
         return try {
             Socket().use {
                 it.connect(InetSocketAddress(host, port.toInt()), CONNECT_TIMEOUT.inWholeMilliseconds.toInt())
             }
-            false
+            ConnectAnswer.ACCEPTED
         } catch (_: ConnectException) {
-            true
+            ConnectAnswer.REFUSED
         } catch (_: IOException) {
-            // No answer, or no route: a silent machine says nothing about the process.
-            false
+            // A silent or unreachable machine says nothing about the process.
+            ConnectAnswer.NONE
         }
     }
 
@@ -151,7 +152,6 @@
         // The network delay to endpoints is 1 to 2 ms; one that does not accept within this time is down or overloaded.
         val CONNECT_TIMEOUT = 300.milliseconds
         val WRITE_TIMEOUT = 5.seconds
-        const val PORT_CHECKS = 2
-        val PORT_CHECK_INTERVAL = 20.milliseconds
+        val SECOND_CONNECT_DELAY = 20.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/QuarantineEnforcer.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/QuarantineEnforcer.kt
@@ -103,7 +103,7 @@
     // registry, is silent, or still accepts connections.
     private fun hasCrashed(endpoint: RegisteredEndpoint): Boolean {
         val isExpectedToServe = state.directory.endpoints[endpoint.id]?.isDraining == false
-        return isExpectedToServe && client.isPortClosed(endpoint.address)
+        return isExpectedToServe && client.refusesConnections(endpoint.address)
     }
 
     private fun isTrialOwner(part: String) =
