Don't begin a stream without event IDs again within one response

Evidence, before: GatewayTest, 1 of 18 fails, a stream whose events have no id is not begun again at another endpoint: expected: <1> but was: <2>

Change: once an event was relayed, a stream goes to another endpoint only if an event had an ID; otherwise it is broken off, as its caller can see.

After: GatewayTest 18 of 18.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/RequestForwarder.kt
@@ -27,6 +27,9 @@
     private var lastServerError: BufferedResponse? = null
 
     private val hasResponseBegun: Boolean get() = exchange.response.isCommitted
+
+    // A stream can only go on at another endpoint after an event with an ID; without one it would begin again.
+    private val canContinue: Boolean get() = !hasResponseBegun || relay.lastEventId != null
     private val maxSends: Int get() = if (hasResponseBegun) MAX_SENDS_AFTER_RESPONSE_START else MAX_SENDS
 
     // Takes a retry from the retry budget; null if the stream can't be resumed at another endpoint.
@@ -51,7 +54,7 @@
     private fun timeLeft(): Duration = timeout - exchange.elapsed()
 
     private fun canRetry(outcome: AttemptOutcome): Boolean {
-        if (exchange.cancelReason != null || timeLeft() <= MIN_SEND_TIME) return false
+        if (exchange.cancelReason != null || timeLeft() <= MIN_SEND_TIME || !canContinue) return false
         return when (outcome) {
             is AttemptOutcome.NotExecuted -> sentEndpointIds.size < maxSends && (!outcome.wasSent || budget.tryRetry())
             is AttemptOutcome.Relocated -> true
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/GatewayTest.kt
@@ -130,6 +130,16 @@
         assertEquals(listOf(1, 1), endpoints.map { it.receivedRequests.size })
     }
 
+    // Guards against events that a caller gets twice, since nothing tells the second endpoint where to go on.
+    @Test
+    fun `a stream whose events have no id is not begun again at another endpoint`() {
+        repeat(2) { endpoint(EndpointStandIn.stream("data: a\n\n", isComplete = false)) }
+        start()
+        val response = call("/resume/x", body = "p")
+        assertFailsWith<IOException> { response.body.string() }
+        assertEquals(1, endpoints.sumOf { it.receivedRequests.size })
+    }
+
     @Test
     fun `a resumable stream moves away from a replica that another gateway ordered to change weights`() {
         val begun = EndpointStandIn.stream("id: 1\ndata: a\n\n", isComplete = false)
