--- a/library/src/main/kotlin/org/celerywalk/endpoint/RegisteredEndpoint.kt
+++ b/library/src/main/kotlin/org/celerywalk/endpoint/RegisteredEndpoint.kt
@@ -3,7 +3,7 @@
 /**
  * Endpoint as it registered itself with the platform.
  *
- * @property id unique for each start of the endpoint.
+ * @property id mostly unique for each start of the endpoint; some start again under the id that they had.
  * @property address host and port.
  * @property slots number of requests that the endpoint runs at once.
  * @property isDraining true while the endpoint drains.
--- a/library/src/main/kotlin/org/celerywalk/quarantine/PromptPartQuarantine.kt
+++ b/library/src/main/kotlin/org/celerywalk/quarantine/PromptPartQuarantine.kt
@@ -84,8 +84,8 @@
         return QuarantineDecision.Trial(quarantinedParts.first())
     }
 
-    // Without this, a part that most requests share would be kept in quarantine if the first requests after a crash
-    // are harmful because of another part. The request has none of the other parts that may be to blame.
+    // True if another part, which this request does not have, was in all requests that crashed endpoints with this
+    // part. Otherwise a part that most requests share would wait for its backoff because of the harmful one.
     private fun isWorthTryingNow(part: String, quarantinedParts: List<String>): Boolean {
         val suspect = suspects.getOrAdd(part)
         return !suspect.isOnTrial && suspects.anyQuarantined { otherPart, other ->
--- a/library/src/main/kotlin/org/celerywalk/quarantine/SuspectPart.kt
+++ b/library/src/main/kotlin/org/celerywalk/quarantine/SuspectPart.kt
@@ -101,6 +101,8 @@
         // Bounds the evidence about one part; the backoff has reached its maximum well before.
         const val MAX_CRASHES = 16
         val MIN_BACKOFF = 5.seconds
+
+        // Each crash makes the backoff four times as long.
         const val DOUBLINGS_PER_CRASH = 2
         const val MAX_DOUBLINGS = 8
         val MAX_BACKOFF = 10.minutes
--- a/library/src/main/kotlin/org/celerywalk/stream/ServerSentEventSplitter.kt
+++ b/library/src/main/kotlin/org/celerywalk/stream/ServerSentEventSplitter.kt
@@ -45,7 +45,7 @@
         if (isSecondOfLineEnd) usesTwoCharLineEnds = true else isBlankLine = isLineEnd && isLineEmpty
         isAfterCarriageReturn = char == CR
         isLineEmpty = isLineEnd
-        // A stream whose lines end with CR LF may be broken off between the two.
+        // "data: a CR LF CR" is complete where lines end with CR, and broken off where they end with CR LF.
         return isBlankLine && !(isAfterCarriageReturn && usesTwoCharLineEnds)
     }
 
