--- a/library/src/test/kotlin/org/celerywalk/quarantine/QuarantineEvidenceTest.kt
+++ b/library/src/test/kotlin/org/celerywalk/quarantine/QuarantineEvidenceTest.kt
@@ -106,5 +106,15 @@
         }
     }
 
+    @Test
+    fun `a sound part is tried even if the owner of its trial gets no requests with it`() {
+        listOf("e-1", "e-2").forEach { quarantine.recordCrash(it, listOf("sound")) }
+        val admitted = (1..300).firstOrNull {
+            clock += 1.seconds
+            quarantine.check(listOf("sound")) { false } !is QuarantineDecision.Refused
+        }
+        assertTrue(admitted != null, "refused for 300 s")
+    }
+
     private fun decide(vararg parts: String) = quarantine.check(parts.toList()) { true }
 }
