Give the tests of the gateway one fleet and the engine's one listener

Five test classes started a store, a gateway and endpoints each in its own way, and two built the same requests with prompts; two tests of the engine client had the same listener. TestFleet and FailureListener replace them. No assertion changes. OddPeerTest also sends odd evidence about prompt parts.

The end of a request's trial is named for what it does, as it is not the end of a resource, and a comment names both things that the end point adds.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/DisconnectDetectingEndPoint.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/DisconnectDetectingEndPoint.kt
@@ -28,7 +28,8 @@
 }
 
 /**
- * Jetty end point that detects, while a request is handled, that the caller closed the connection.
+ * Jetty end point that detects, while a request is handled, that the caller closed the connection, and that can reset
+ * the connection instead of closing it.
  *
  * Jetty does not read from the connection during that time. This class reads ahead instead, and hands the bytes of a
  * pipelined next request to Jetty when Jetty reads again. Its state is guarded by [lock], since reads end on Jetty's
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/QuarantineEnforcer.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/QuarantineEnforcer.kt
@@ -23,7 +23,7 @@
     fun begin(request: CallerRequest): RequestQuarantine = RequestQuarantine(request)
 
     /** Quarantine of the shared prompt parts of one request. Used by one thread. */
-    inner class RequestQuarantine(private val request: CallerRequest) : AutoCloseable {
+    inner class RequestQuarantine(private val request: CallerRequest) {
         // The last part belongs to the request or its session, so no other request would be kept from the endpoints.
         private val parts =
             if (request.model == null) emptyList() else request.promptParts.dropLast(1).map { it.id }
@@ -80,8 +80,8 @@
             if (isSuspect && hasCrashed(endpoint)) recordCrash(endpoint)
         }
 
-        /** Allows another trial if this one has not reached an endpoint. */
-        override fun close() {
+        /** Allows another trial if no endpoint has received this one; to be called after the last send. */
+        fun withdrawUnsentTrial() {
             if (isOnTrial) state.quarantine.withdrawTrial(parts)
         }
 
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/RequestForwarder.kt
@@ -46,7 +46,7 @@
         budget.recordRequest()
         var outcome = sendToNextEndpoint()
         while (canRetry(outcome)) outcome = sendToNextEndpoint()
-        quarantine.close()
+        quarantine.withdrawUnsentTrial()
         if (executions == 0) admitted.refund()
         completeResponse(outcome)
     }
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/BrokenOffStreamTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/BrokenOffStreamTest.kt
@@ -10,15 +10,10 @@
 
 /** Guards against a stream that an endpoint broke off and that reaches its caller as if it were complete. */
 class BrokenOffStreamTest {
-    private val store = StoreStandIn()
-    private val gateway = TestGateway(store)
-    private var endpoint: EndpointStandIn? = null
+    private val fleet = TestFleet()
 
     @AfterEach
-    fun close() {
-        store.close()
-        endpoint?.close()
-    }
+    fun close() = fleet.close()
 
     @Test
     fun `a stream that breaks off in its chunks`() =
@@ -66,8 +61,8 @@
     @Test
     fun `a stream that breaks off while the gateway stops`() {
         start("Transfer-Encoding: chunked\r\n\r\n$CHUNKED_EVENT")
-        val stop = CompletableFuture.runAsync(gateway::stop)
-        awaitUntil { !gateway.isReady() }
+        val stop = CompletableFuture.runAsync(fleet.gateway::stop)
+        awaitUntil { !fleet.gateway.isReady() }
         ROUTES.forEach { route -> assertIncomplete("$route, HTTP/1.1", call(route, "HTTP/1.1", "")) }
         stop.get(30, TimeUnit.SECONDS)
     }
@@ -105,19 +100,20 @@
     private fun start(fieldsAndBody: String) = start { fieldsAndBody }
 
     private fun start(fieldsAndBody: () -> String) {
-        val standIn = EndpointStandIn { request, socket ->
+        fleet.add { request, socket ->
             val attemptId = request.fields["x-attempt-id"]
             val head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: $attemptId\r\nX-Response-Signature: s\r\n"
             socket.getOutputStream().write((head + fieldsAndBody()).toByteArray())
-        }.also { endpoint = it }
-        store.put("op", "config", CONFIGURATION)
-        val registration = """{"backend":"s","address":"${standIn.address}","zone":"dc","slots":64,"state":"ready"}"""
-        store.put("servers", "i-0", registration)
-        gateway.start()
+        }
+        fleet.start(
+            TestFleet.route("stream", "streaming"),
+            TestFleet.route("resume", "streaming", """"resumable":true,"max_attempts":1"""),
+            TestFleet.route("once", "idempotent"),
+        )
     }
 
     private fun call(route: String, version: String, fields: String): ReceivedResponse =
-        Socket("127.0.0.1", gateway.port).use { socket ->
+        Socket("127.0.0.1", fleet.gateway.port).use { socket ->
             socket.soTimeout = MAX_SILENCE_MILLIS
             val request = "POST /$route/x $version\r\nHost: 127.0.0.1\r\nX-Attempt-Id: a\r\nX-Deadline-Ms: 4000\r\n" +
                 "Content-Length: 1\r\n$fields\r\np"
@@ -137,12 +133,5 @@
             "HTTP/1.0" to "",
             "HTTP/1.0" to "Connection: keep-alive\r\n",
         )
-        const val CONFIGURATION = """{"version":1,"services":[{"name":"s"}],"routes":[
-            {"name":"stream","hostname":"127.0.0.1","prefix":"/stream/","backend":"s","timeout_ms":5000,
-             "type":"streaming","max_attempts":1},
-            {"name":"resume","hostname":"127.0.0.1","prefix":"/resume/","backend":"s","timeout_ms":5000,
-             "type":"streaming","resumable":true,"max_attempts":1},
-            {"name":"once","hostname":"127.0.0.1","prefix":"/once/","backend":"s","timeout_ms":5000,
-             "type":"idempotent","max_attempts":1}]}"""
     }
 }
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/BrokenStreamTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/BrokenStreamTest.kt
@@ -1,7 +1,5 @@
 package org.celerywalk.gateway
 
-import okhttp3.Request
-import okhttp3.RequestBody.Companion.toRequestBody
 import org.junit.jupiter.api.AfterEach
 import java.io.IOException
 import kotlin.test.Test
@@ -13,15 +11,10 @@
  * that looks complete: the next endpoint fails, refuses, or sends something other than the rest of the stream.
  */
 class BrokenStreamTest {
-    private val store = StoreStandIn()
-    private val gateway = TestGateway(store)
-    private val endpoints = mutableListOf<EndpointStandIn>()
+    private val fleet = TestFleet()
 
     @AfterEach
-    fun close() {
-        store.close()
-        endpoints.forEach { it.close() }
-    }
+    fun close() = fleet.close()
 
     @Test
     fun `an error of the next endpoint is not relayed into the stream`() = assertBrokenOff(
@@ -67,42 +60,29 @@
         "HTTP/1.1 $status\r\n${fields}Content-Length: ${body.length}\r\n\r\n$body"
 
     private fun assertBrokenOff(vararg nextResponses: String) {
-        nextResponses.forEach { next ->
-            endpoints += List(2) {
-                EndpointStandIn { request, socket ->
+        nextResponses.forEachIndexed { i, next ->
+            repeat(2) {
+                fleet.add("s-$i") { request, socket ->
                     val response = if (request.fields["last-event-id"] == null) BEGUN else next
                     socket.getOutputStream().write(response.toByteArray())
                 }
             }
         }
-        start(nextResponses.size)
-        nextResponses.forEachIndexed { service, next ->
-            val (text, failure) = readStream("stream-$service")
+        val routes = nextResponses.indices.map {
+            TestFleet.route("stream-$it", "streaming", """"resumable":true,"max_attempts":2""", service = "s-$it")
+        }
+        fleet.start(*routes.toTypedArray())
+        nextResponses.forEachIndexed { i, next ->
+            val (text, failure) = readStream("stream-$i")
             assertEquals(FIRST_EVENT, text, next)
             assertNotNull(failure, "the stream looks complete: $next")
         }
     }
 
-    // Starts a gateway with two endpoints for each service.
-    private fun start(serviceCount: Int) {
-        val routes = (0 until serviceCount).joinToString(",") {
-            """{"name":"stream-$it","hostname":"127.0.0.1","prefix":"/stream-$it/","backend":"s-$it",
-                "timeout_ms":1500,"type":"streaming","resumable":true,"max_attempts":2}"""
-        }
-        store.put("op", "config", """{"version":1,"services":[],"routes":[$routes]}""")
-        endpoints.forEachIndexed { i, endpoint ->
-            val service = """"backend":"s-${i / 2}","address":"${endpoint.address}""""
-            store.put("servers", "i-$i", """{$service,"zone":"dc","slots":4,"state":"ready"}""")
-        }
-        gateway.start()
-    }
-
     // Returns what a caller received of a stream, and the error with which it ended.
     private fun readStream(route: String): Pair<String, IOException?> {
-        val request = Request.Builder().url("${gateway.url}/$route/x").header("X-Attempt-Id", "this")
-            .header("X-Deadline-Ms", "3000").post("p".toRequestBody()).build()
         val text = StringBuilder()
-        return gateway.client.newCall(request).execute().use { response ->
+        return fleet.gateway.client.newCall(fleet.request(route).build()).execute().use { response ->
             val failure = try {
                 val source = response.body.source()
                 while (!source.exhausted()) text.append(source.buffer.readUtf8())
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/DeadlyPromptPartTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/DeadlyPromptPartTest.kt
@@ -1,12 +1,7 @@
 package org.celerywalk.gateway
 
-import okhttp3.Request
-import okhttp3.RequestBody.Companion.toRequestBody
 import okhttp3.Response
 import org.junit.jupiter.api.AfterEach
-import java.net.DatagramPacket
-import java.net.DatagramSocket
-import java.net.InetAddress
 import java.net.Socket
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -17,15 +12,10 @@
  * that begins to answer it.
  */
 class DeadlyPromptPartTest {
-    private val store = StoreStandIn()
-    private val gateway = TestGateway(store)
-    private val endpoints = List(ENDPOINTS) { EndpointStandIn { request, socket -> answer(request, socket) } }
+    private val fleet = TestFleet()
 
     @AfterEach
-    fun close() {
-        store.close()
-        endpoints.forEach { it.close() }
-    }
+    fun close() = fleet.close()
 
     @Test
     fun `requests with a part under which two endpoints crashed are refused at once, others are served`() {
@@ -52,7 +42,7 @@
     fun `a part that other gateways saw under two crashes is refused by this one too`() {
         start()
         val parts = """"dead":{"crashes":{"e-1":900,"e-2":100}},"51":{"crashes":{"e-3":900,"e-4":100}}"""
-        sendAsPeer("""{"name":"p","number":1,"suspects":{$parts}}""")
+        fleet.sendAsPeer("""{"name":"p","number":1,"suspects":{$parts}}""")
         // Part 51 crashes no endpoint and shows that the message has arrived.
         awaitUntil { status("stream", "$FIRST,51:5,a:1") == 503 }
         assertEquals(503, status("stream", "$FIRST,dead:5,a:1"))
@@ -71,26 +61,20 @@
         // The gateway checks with a connection without a request whether an endpoint still listens.
         val prompt = request.fields["x-prompt-prefix"] ?: return
         when {
-            "dead" in prompt -> endpoints.first { it.address.endsWith(":${socket.localPort}") }.close()
+            "dead" in prompt -> fleet.endpoints.first { it.address.endsWith(":${socket.localPort}") }.close()
             "bad" in prompt -> socket.setSoLinger(true, 0)
             else -> EndpointStandIn.stream("id: 1\ndata: a\n\n", isComplete = true)(request, socket)
         }
     }
 
-    private fun crashedCount() = endpoints.count { it.isClosed }
+    private fun crashedCount() = fleet.endpoints.count { it.isClosed }
 
     private fun start() {
-        store.put("op", "config", CONFIGURATION)
-        endpoints.forEachIndexed { index, endpoint ->
-            val text = """{"backend":"s","address":"${endpoint.address}","zone":"dc","slots":64,"state":"ready"}"""
-            store.put("servers", "i-$index", text)
-        }
-        gateway.start()
-    }
-
-    private fun sendAsPeer(message: String) = DatagramSocket().use {
-        val address = InetAddress.getByName("127.0.0.1")
-        it.send(DatagramPacket(message.toByteArray(), message.length, address, gateway.peerPort))
+        repeat(ENDPOINTS) { fleet.add { request, socket -> answer(request, socket) } }
+        fleet.start(
+            TestFleet.route("stream", "streaming"),
+            TestFleet.route("resume", "streaming", """"resumable":true,"max_attempts":4"""),
+        )
     }
 
     private fun status(route: String, prompt: String) = call(route, prompt).use {
@@ -98,20 +82,12 @@
         it.code
     }
 
-    private fun call(route: String, prompt: String): Response = gateway.client.newCall(
-        Request.Builder().url("${gateway.url}/$route/x").header("X-Attempt-Id", "a-${System.nanoTime()}")
-            .header("X-Deadline-Ms", "4000").header("X-Model", "m").header("X-Token-Usage", "20,5")
-            .header("X-Prompt-Prefix", prompt).post("p".toRequestBody()).build(),
-    ).execute()
+    private fun call(route: String, prompt: String): Response =
+        fleet.gateway.client.newCall(fleet.request(route).withPrompt(prompt).build()).execute()
 
     private companion object {
         const val ENDPOINTS = 6
         const val OK = 200
         const val FIRST = "f:10"
-        const val CONFIGURATION = """{"version":1,"services":[{"name":"s"}],"routes":[
-            {"name":"stream","hostname":"127.0.0.1","prefix":"/stream/","backend":"s","timeout_ms":5000,
-             "type":"streaming","max_attempts":1},
-            {"name":"resume","hostname":"127.0.0.1","prefix":"/resume/","backend":"s","timeout_ms":5000,
-             "type":"streaming","resumable":true,"max_attempts":4}]}"""
     }
 }
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/OddPeerTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/OddPeerTest.kt
@@ -67,7 +67,7 @@
         )
         val fields = listOf(
             "number", "partial", "heard", "configuration", "confirmed", "quotas", "work", "versions", "changing",
-            "ejected", "placed", "lease", "weight-ages", "caches",
+            "ejected", "placed", "lease", "weight-ages", "caches", "suspects",
         )
         val nestedValues = values + values.flatMap { v ->
             val array = List(6) { v }.joinToString(",", "[", "]")
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/QuarantineTrialTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/QuarantineTrialTest.kt
@@ -1,13 +1,8 @@
 package org.celerywalk.gateway
 
-import okhttp3.Request
-import okhttp3.RequestBody.Companion.toRequestBody
 import okhttp3.Response
 import org.junit.jupiter.api.AfterEach
 import java.io.IOException
-import java.net.DatagramPacket
-import java.net.DatagramSocket
-import java.net.InetAddress
 import java.net.Socket
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CountDownLatch
@@ -19,17 +14,14 @@
 
 /** Guards against requests with a harmful prompt part that reach endpoints although the part is in quarantine. */
 class QuarantineTrialTest {
-    private val store = StoreStandIn()
-    private val gateway = TestGateway(store)
-    private val endpoints = List(ENDPOINTS) { EndpointStandIn { request, socket -> answer(request, socket) } }
+    private val fleet = TestFleet()
     private val sentEvents = AtomicInteger()
     private val ended = CountDownLatch(1)
 
     @AfterEach
     fun close() {
         ended.countDown()
-        store.close()
-        endpoints.forEach { it.close() }
+        fleet.close()
     }
 
     @Test
@@ -60,7 +52,7 @@
         }
         ended.countDown()
         stream.join()
-        assertEquals(2, endpoints.count { it.isClosed })
+        assertEquals(2, fleet.endpoints.count { it.isClosed })
     }
 
     private fun awaitMoreEvents() {
@@ -70,16 +62,14 @@
 
     // The trial of part 51 is due, that of part 52 isn't.
     private fun reportCrashes() {
-        val message = """{"name":"g","number":1,"suspects":{"51":{"crashes":{"e-1":9000,"e-2":9000}},
-            "52":{"crashes":{"e-3":0,"e-4":0}}}}"""
-        DatagramSocket().use {
-            val address = InetAddress.getByName("127.0.0.1")
-            it.send(DatagramPacket(message.toByteArray(), message.length, address, gateway.peerPort))
-        }
+        fleet.sendAsPeer(
+            """{"name":"g","number":1,"suspects":{"51":{"crashes":{"e-1":9000,"e-2":9000}},
+            "52":{"crashes":{"e-3":0,"e-4":0}}}}""",
+        )
         awaitUntil { call("stream", "$FIRST,52:5,a:1").use { it.code } == UNAVAILABLE }
     }
 
-    private fun receivedCount(part: String) = endpoints.sumOf { endpoint ->
+    private fun receivedCount(part: String) = fleet.endpoints.sumOf { endpoint ->
         endpoint.receivedRequests.count { part in it.fields["x-prompt-prefix"].orEmpty() }
     }
 
@@ -87,7 +77,7 @@
         val prompt = request.fields["x-prompt-prefix"] ?: return
         when {
             "1091:" in prompt -> goOn(socket)
-            "dead" in prompt -> endpoints.first { it.address.endsWith(":${socket.localPort}") }.close()
+            "dead" in prompt -> fleet.endpoints.first { it.address.endsWith(":${socket.localPort}") }.close()
             "51:5" in prompt -> ended.await(5, TimeUnit.SECONDS)
             else -> EndpointStandIn.stream("id: 1\ndata: a\n\n", isComplete = true)(request, socket)
         }
@@ -108,27 +98,17 @@
     }
 
     private fun start() {
-        store.put("op", "config", CONFIGURATION)
-        endpoints.forEachIndexed { index, endpoint ->
-            val text = """{"backend":"s","address":"${endpoint.address}","zone":"dc","slots":64,"state":"ready"}"""
-            store.put("servers", "i-$index", text)
-        }
-        gateway.start()
+        repeat(ENDPOINTS) { fleet.add { request, socket -> answer(request, socket) } }
+        fleet.start(TestFleet.route("stream", "streaming"))
     }
 
     private fun call(route: String, prompt: String, readMillis: Long = 10_000): Response =
-        gateway.client.newBuilder().readTimeout(readMillis, TimeUnit.MILLISECONDS).build().newCall(
-            Request.Builder().url("${gateway.url}/$route/x").header("X-Attempt-Id", "a-${System.nanoTime()}")
-                .header("X-Deadline-Ms", "8000").header("X-Model", "m").header("X-Token-Usage", "20,5")
-                .header("X-Prompt-Prefix", prompt).post("p".toRequestBody()).build(),
-        ).execute()
+        fleet.gateway.client.newBuilder().readTimeout(readMillis, TimeUnit.MILLISECONDS).build()
+            .newCall(fleet.request(route).withPrompt(prompt).build()).execute()
 
     private companion object {
         const val ENDPOINTS = 6
         const val UNAVAILABLE = 503
         const val FIRST = "f:10"
-        const val CONFIGURATION = """{"version":1,"services":[{"name":"s"}],"routes":[
-            {"name":"stream","hostname":"127.0.0.1","prefix":"/stream/","backend":"s","timeout_ms":9000,
-             "type":"streaming","max_attempts":1}]}"""
     }
 }
--- a/runtime/src/test/kotlin/org/celerywalk/engine/EndlessEngine.kt
+++ b/runtime/src/test/kotlin/org/celerywalk/engine/EndlessEngine.kt
@@ -3,7 +3,6 @@
 import java.io.IOException
 import java.net.InetAddress
 import java.net.ServerSocket
-import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
@@ -13,20 +12,6 @@
 
 /** Engine that answers one request with [start] and then [repeated] without end, until its connection is closed. */
 internal class EndlessEngine(private val start: String, private val repeated: String) : AutoCloseable {
-    private class Listener : EngineListener {
-        val error = CompletableFuture<EngineError>()
-
-        override fun onStarted(incarnation: String, weights: String, promptTokens: Int, cachedTokens: Int) = Unit
-
-        override fun onTokens(offset: Int, count: Int, text: String) = Unit
-
-        override fun onFinished(totalTokens: Int, reason: String) = Unit
-
-        override fun onFailed(error: EngineError) {
-            this.error.complete(error)
-        }
-    }
-
     private val server = ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))
     private val takenBytes = AtomicLong()
     private val closed = CountDownLatch(1)
@@ -34,7 +19,7 @@
     /** Requires that a stream fails, takes a bounded number of bytes and closes its connection. */
     fun assertStreamFails() {
         thread(isDaemon = true) { sendWithoutEnd() }
-        val listener = Listener()
+        val listener = FailureListener()
         val limits = EngineStreamLimits(threads = 2, idleTimeout = 10.seconds)
         EngineStreams("http://127.0.0.1:${server.localPort}", connectTimeout = 5.seconds, limits).use {
             it.open("/generate", "a", "{}".toByteArray(), listener)
--- a/runtime/src/test/kotlin/org/celerywalk/engine/RepeatedRefusalTest.kt
+++ b/runtime/src/test/kotlin/org/celerywalk/engine/RepeatedRefusalTest.kt
@@ -5,7 +5,6 @@
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
-import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
 import kotlin.test.Test
@@ -17,20 +16,6 @@
  * the refusal of an earlier one again on a kept connection.
  */
 class RepeatedRefusalTest {
-    private class Listener : EngineListener {
-        val error = CompletableFuture<EngineError>()
-
-        override fun onStarted(incarnation: String, weights: String, promptTokens: Int, cachedTokens: Int) = Unit
-
-        override fun onTokens(offset: Int, count: Int, text: String) = Unit
-
-        override fun onFinished(totalTokens: Int, reason: String) = Unit
-
-        override fun onFailed(error: EngineError) {
-            this.error.complete(error)
-        }
-    }
-
     private val server = ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))
     private val limits = HttpLimits(connectTimeout = 5.seconds, callTimeout = 5.seconds, 4, 4)
     private val engine = HttpEngine("http://127.0.0.1:${server.localPort}", limits, EngineStreamLimits(2, 5.seconds))
@@ -53,7 +38,7 @@
     }
 
     private fun isNotExecuted(attemptId: String): Boolean {
-        val listener = Listener()
+        val listener = FailureListener()
         engine.generate(EngineRequest(attemptId, "prompt", "scope", "1", emptyList(), 10, priority = 0), listener)
         return listener.error.get(8, TimeUnit.SECONDS).isNotExecuted
     }
