Let the quarantine itself refuse names of any length

Cause: only the caller of the quarantine bounded the names.

Change: the owner of the evidence takes no part with a name of more than 64 characters. The number of crashes is derived, not stored beside them.

--- a/gateway/src/test/kotlin/org/celerywalk/gateway/PeerStateTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/PeerStateTest.kt
@@ -2,11 +2,13 @@
 
 import org.celerywalk.cache.CacheEvent
 import org.celerywalk.cache.CacheEvents
+import org.celerywalk.quarantine.PromptPartQuarantine
 import org.celerywalk.routing.EndpointWork
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TestTimeSource
 
 /** Guards against messages whose size grows with the fleet, and against changes that messages leave out. */
 class PeerStateTest {
@@ -77,5 +79,24 @@
         assertEquals(sizes.first(), sizes.last())
     }
 
+    // Guards against evidence that outgrows a datagram, which would keep quotas and work from the other gateways too.
+    @Test
+    fun `evidence about many parts with names of any length fits into one message`() {
+        val quarantine = PromptPartQuarantine(TestTimeSource())
+        (1..16).forEach { start ->
+            (1..48).forEach { part ->
+                val longName = "0".repeat(9_000) + part
+                quarantine.recordCrash("i-$start/1796464840696", listOf(longName, longName.takeLast(LONGEST_NAME)))
+            }
+        }
+        val size = PeerStateCodec.encode(PeerState("g", 1, suspectParts = quarantine.evidence())).size
+        assertTrue(size <= MAX_DATAGRAM_BYTES, "$size bytes")
+    }
+
     private fun decode(bytes: ByteArray) = PeerStateCodec.decode(bytes, bytes.size)
+
+    private companion object {
+        const val MAX_DATAGRAM_BYTES = 60_000
+        const val LONGEST_NAME = 64
+    }
 }
--- a/library/src/main/kotlin/org/celerywalk/quarantine/PromptPartQuarantine.kt
+++ b/library/src/main/kotlin/org/celerywalk/quarantine/PromptPartQuarantine.kt
@@ -11,6 +11,8 @@
  * crash and no answer in between is quarantined: requests with it are refused, but for one on trial after a backoff
  * that grows with the number of crashes, or at once if another part may be to blame. An answer ends the quarantine.
  *
+ * Parts are known by name; those with names of more than 64 characters are never quarantined.
+ *
  * Instances exchange their [evidence], and each decides by all of it; a crash that several instances report counts
  * once. Safe for use from several threads.
  */
@@ -37,10 +39,11 @@
     @Synchronized
     public fun recordCrash(endpointStart: String, parts: Collection<String>): List<String> {
         val now = timeSource.markNow()
-        val newSuspects = parts.toSet().filterNot { suspects.getOrAdd(it).isQuarantined }
-        if (parts.count { suspects.getOrAdd(it).addCrash(endpointStart, now) } > 0) revision++
+        val accused = parts.toSet().filter(suspects::canHold)
+        val quarantinedBefore = accused.filter { suspects[it]?.isQuarantined ?: false }
+        if (accused.count { suspects.getOrAdd(it).addCrash(endpointStart, now) } > 0) revision++
         prune()
-        return newSuspects.filter { suspects[it]?.isQuarantined ?: false }
+        return (accused - quarantinedBefore.toSet()).filter { suspects[it]?.isQuarantined ?: false }
     }
 
     /** Records that an endpoint began to answer a request with [parts]; returns the parts that this clears. */
@@ -113,7 +116,8 @@
     public fun merge(evidence: Map<String, PartEvidence>): List<String> {
         if (evidence.isEmpty()) return emptyList()
         return synchronized(this) {
-            evidence.filter { (part, reported) -> mergePart(part, reported) }.keys.toList().also { prune() }
+            evidence.filter { (part, reported) -> suspects.canHold(part) && mergePart(part, reported) }
+                .keys.toList().also { prune() }
         }
     }
 
--- a/library/src/main/kotlin/org/celerywalk/quarantine/SuspectPart.kt
+++ b/library/src/main/kotlin/org/celerywalk/quarantine/SuspectPart.kt
@@ -17,8 +17,7 @@
         private set
 
     /** Number of crashes since the last answer. */
-    var crashCount: Int = 0
-        private set
+    val crashCount: Int get() = activeCrashes.size
 
     val isQuarantined: Boolean get() = crashCount >= MIN_CRASHES && !isExpired()
 
@@ -32,17 +31,14 @@
         crashedAt[endpointStart] = at
         // Refusing later crashes instead would let the evidence expire while the part goes on to crash endpoints.
         if (crashedAt.size > MAX_CRASHES) crashedAt -= crashedAt.minBy { it.value }.key
-        crashCount = activeCrashes.size
         return endpointStart in crashedAt
     }
 
     /** Adds an answer, which clears the part of the crashes before it; returns true if there were any. */
     fun addAnswer(at: ComparableTimeMark, isOwn: Boolean): Boolean {
         if (isOwn) ownAnswerAt = at
-        val lastAnswerAt = maxOf(answeredAt ?: at, at)
-        answeredAt = lastAnswerAt
         val previousCount = crashCount
-        crashCount = crashedAt.values.count { it > lastAnswerAt }
+        answeredAt = maxOf(answeredAt ?: at, at)
         return crashCount < previousCount
     }
 
--- a/library/src/main/kotlin/org/celerywalk/quarantine/SuspectParts.kt
+++ b/library/src/main/kotlin/org/celerywalk/quarantine/SuspectParts.kt
@@ -10,6 +10,9 @@
 
     fun getOrAdd(part: String): SuspectPart = suspects.getOrPut(part) { SuspectPart() }
 
+    /** Returns true if evidence about [part] may be kept; a name of any length would take any memory. */
+    fun canHold(part: String): Boolean = part.length <= MAX_NAME_CHARS
+
     fun quarantined(): Map<String, SuspectPart> = suspects.filterValues { it.isQuarantined }
 
     /** Returns true if [predicate] holds for any part in quarantine. */
@@ -18,7 +21,7 @@
 
     /** Returns at most [count] parts, those with most crashes first and among them those with the latest ones. */
     fun mostSuspect(count: Int): Map<String, SuspectPart> =
-        suspects.entries.sortedWith(MOST_SUSPECT_FIRST).take(count).associate { it.toPair() }
+        suspects.toList().sortedWith(MOST_SUSPECT_FIRST).take(count).toMap()
 
     /** Returns at most [count] parts that this instance received an answer for, those with the latest answers first. */
     fun latestAnswered(count: Int): Map<String, SuspectPart> =
@@ -34,7 +37,10 @@
     private companion object {
         // Bounds the memory: requests may name any number of parts.
         const val MAX_PARTS = 512
-        val MOST_SUSPECT_FIRST = compareByDescending<Map.Entry<String, SuspectPart>> { it.value.crashCount }
-            .thenByDescending { it.value.lastChangeAt }
+
+        // Names are hashes or numbers of 64 bits, with room for other forms.
+        const val MAX_NAME_CHARS = 64
+        val MOST_SUSPECT_FIRST = compareByDescending<Pair<String, SuspectPart>> { (_, suspect) -> suspect.crashCount }
+            .thenByDescending { (_, suspect) -> suspect.lastChangeAt }
     }
 }
