--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
@@ -114,7 +114,7 @@
                 GenerationPlacer(state, chooser, log, peers::announcePlacement),
                 ServiceEndpointChooser(state.loads, settings.dataCentre),
             ),
-            QuarantineEnforcer(state, client, log, { membership.reachablePeers }, peers::sendSoon),
+            QuarantineEnforcer(state, client, log) { membership.reachablePeers },
         )
     }
 
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/QuarantineEnforcer.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/QuarantineEnforcer.kt
@@ -7,17 +7,16 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Applies the quarantine of prompt parts to the requests of this gateway.
+ * Applies the quarantine of prompt parts to the requests of this gateway. Peers learn of new evidence with the next
+ * regular message: when endpoints crash, there is so much of it that a message for each would take too much time.
  *
  * @param reachablePeers names of the other gateways that this gateway hears from.
- * @param onEvidence called when the peers should learn of new evidence at once.
  */
 internal class QuarantineEnforcer(
     private val state: FleetState,
     private val client: EndpointClient,
     private val log: EventLog,
     private val reachablePeers: () -> Set<String>,
-    private val onEvidence: () -> Unit,
 ) {
     /** Begins to apply the quarantine to [request]. */
     fun begin(request: CallerRequest): RequestQuarantine = RequestQuarantine(request)
@@ -42,7 +41,6 @@
                 is QuarantineDecision.Admitted -> null
                 is QuarantineDecision.Trial -> {
                     log.write("part_tried", "id" to request.attemptId, "part" to decision.part)
-                    onEvidence()
                     null
                 }
                 is QuarantineDecision.Refused -> {
@@ -62,7 +60,6 @@
             isAnswerRecorded = true
             state.quarantine.recordAnswer(parts).forEach {
                 log.write("part_cleared", "id" to request.attemptId, "part" to it)
-                onEvidence()
             }
         }
 
@@ -95,7 +92,6 @@
             // An endpoint may start again under the same id.
             val endpointStart = listOfNotNull(endpoint.id, endpoint.startedAtMillis).joinToString("/")
             state.quarantine.recordCrash(endpointStart, parts).forEach { log.write("part_quarantined", "part" to it) }
-            onEvidence()
         }
     }
 
