--- a/runtime/src/main/kotlin/org/celerywalk/engine/EngineStream.kt
+++ b/runtime/src/main/kotlin/org/celerywalk/engine/EngineStream.kt
@@ -9,7 +9,7 @@
 /**
  * Delivers the events of one engine stream to its listener, one at a time.
  *
- * The next buffers are requested only after all received events have been delivered, so that a paused stream stops
+ * The next buffer is requested only after all received events have been delivered, so that a paused stream stops
  * reading from its connection (backpressure).
  */
 internal class EngineStream(
@@ -17,10 +17,10 @@
     private val peer: String,
     private val nanoTime: () -> Long,
     private val onEnd: (EngineStream) -> Unit,
-) : Flow.Subscriber<List<ByteBuffer>> {
+) : Flow.Subscriber<ByteBuffer> {
     private val parser = EventStreamParser(MAX_EVENT_BYTES)
     private val pendingEvents = ArrayDeque<ServerSentEvent>()
-    private val receivedBuffers = AtomicReference<List<ByteBuffer>?>()
+    private val receivedBuffer = AtomicReference<ByteBuffer?>()
     private val failure = AtomicReference<EngineError?>()
     private val subscription = AtomicReference<Flow.Subscription?>()
 
@@ -52,9 +52,9 @@
         if (hasEnded) subscription.cancel() else deliverPending()
     }
 
-    override fun onNext(item: List<ByteBuffer>) {
+    override fun onNext(item: ByteBuffer) {
         lastInputNanos = nanoTime()
-        receivedBuffers.set(item)
+        receivedBuffer.set(item)
         isBufferRequested = false
         deliverPending()
     }
@@ -96,7 +96,7 @@
     }
 
     private fun deliverEvents() {
-        receivedBuffers.getAndSet(null)?.forEach { parser.feed(it).fold(::failMalformed, pendingEvents::addAll) }
+        receivedBuffer.getAndSet(null)?.let { parser.feed(it).fold(::failMalformed, pendingEvents::addAll) }
         while (!hasEnded && !isPaused && pendingEvents.isNotEmpty()) {
             val event = pendingEvents.removeFirst()
             parseJson(event.data.toByteArray()) { listener.dispatch(event.name, it, beforeEnd = ::end) }
