Don't let OkHttp act on Retry-After of calls to services and the store

Cause: OkHttp repeats a call after a response 503 with 'Retry-After: 0', whatever its retry settings, and throws a NumberFormatException for a number that doesn't fit an Int. A booking that a plain service had refused was sent again by the agent's client and ended with an unknown outcome; a call to the store or to a replica ended in an exception that its caller doesn't expect. Evidence: RepeatedCallTest before: 'expected (503, 1) but was (no response: unexpected end of stream, 1)'; ReplicaCallsTest before: 'NumberFormatException: For input string: ""'. Found while looking for the report 'one malformed message took a process down'.

--- a/runtime/src/main/kotlin/org/celerywalk/http/HttpCaller.kt
+++ b/runtime/src/main/kotlin/org/celerywalk/http/HttpCaller.kt
@@ -93,6 +93,7 @@
         .followRedirects(false)
         .followSslRedirects(false)
         .eventListener(SendTrackingListener())
+        .sendOnceDespiteRetryAfter()
         .build()
 
     /** Sends [request]; the future completes normally in every case, also with [HttpFailure]. */
