Honour what endpoints state about themselves in responses

Change: EndpointNotices of the library holds such statements for each start of an endpoint, whatever the registry says. If all endpoints pause, the caller is told at once when the first one ends its pause.

--- /dev/null
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/CandidateSelector.kt
@@ -0,0 +1,46 @@
+package org.celerywalk.gateway
+
+import org.celerywalk.endpoint.RegisteredEndpoint
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Endpoints that a request may be sent to.
+ *
+ * @property pauseEnd time after which the caller may come back if [endpoints] is empty because endpoints have asked for
+ *   a pause, otherwise null.
+ */
+internal class CandidateSelection(val endpoints: List<RegisteredEndpoint>, val pauseEnd: Duration?)
+
+/** Selects the endpoints of a service that accept a request of this gateway. */
+internal class CandidateSelector(private val state: FleetState, private val random: Random) {
+    /**
+     * Selects endpoints of [service] other than [sentIds], those that the request was sent to.
+     *
+     * If [mayRepeat] and no other endpoint is left, they are selected again, so that a stream that has begun is not
+     * broken off.
+     */
+    fun select(service: String, sentIds: List<String>, mayRepeat: Boolean): CandidateSelection {
+        val (accepting, pausing) = state.directory.servingEndpoints(service).partition(::acceptsCalls)
+        val endpoints =
+            accepting.filter { it.id !in sentIds }.ifEmpty { if (mayRepeat) accepting else emptyList() }
+        val isPauseToBlame = endpoints.isEmpty() && pausing.isNotEmpty()
+        return CandidateSelection(endpoints, if (isPauseToBlame) spreadPauseEnd(pausing) else null)
+    }
+
+    private fun acceptsCalls(endpoint: RegisteredEndpoint): Boolean =
+        state.directory.notices.accepts(endpoint.start, state.loads.getOrCreate(endpoint.id).ownWork.calls)
+
+    // The callers are told different times, so that they don't all return at the same moment.
+    private fun spreadPauseEnd(pausing: List<RegisteredEndpoint>): Duration {
+        val wait = state.directory.notices.timeUntilAccepted(pausing.map { it.start })
+        return wait + maxOf(wait * RETURN_SPREAD, MIN_RETURN_SPREAD) * random.nextDouble()
+    }
+
+    private companion object {
+        // Share of the wait over which the return of the rejected callers is spread.
+        const val RETURN_SPREAD = 0.25
+        val MIN_RETURN_SPREAD = 300.milliseconds
+    }
+}
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointClient.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointClient.kt
@@ -32,8 +32,16 @@
 
 /** Outcome of sending a request, up to the head of the response. */
 internal sealed interface SendResult {
-    /** The head of the response was received; its body is still to be read. */
-    class ResponseReceived(val response: Response) : SendResult
+    /**
+     * The head of the response was received; its body is still to be read.
+     *
+     * @param retryAfter values of the header field that [response] no longer has, see [EndpointClient].
+     */
+    class ResponseReceived(val response: Response, private val retryAfter: List<String>) : SendResult {
+        /** Returns the values of the header field [name] as they were received. */
+        fun fields(name: String): List<String> =
+            if (name.equals(RETRY_AFTER, ignoreCase = true)) retryAfter else response.headers(name)
+    }
 
     /** Nothing was sent, so the request was not executed. */
     class NotSent(val cause: String) : SendResult
@@ -47,6 +55,9 @@
     private class SendProgress {
         @Volatile
         var isStarted = false
+
+        @Volatile
+        var retryAfter = emptyList<String>()
     }
 
     private class SendListener : EventListener() {
@@ -55,10 +66,11 @@
         }
     }
 
-    // OkHttp would retry a request after a response 503 with "Retry-After: 0".
-    private val stripRetryAfter = Interceptor { chain ->
+    // OkHttp would repeat a request after a response 503 with "Retry-After: 0", and fail on a very large number.
+    private val takeRetryAfter = Interceptor { chain ->
         val response = chain.proceed(chain.request())
-        if (response.code == UNAVAILABLE) response.newBuilder().removeHeader("Retry-After").build() else response
+        chain.request().tag(SendProgress::class.java)?.retryAfter = response.headers(RETRY_AFTER)
+        if (response.code == UNAVAILABLE) response.newBuilder().removeHeader(RETRY_AFTER).build() else response
     }
 
     private val client = OkHttpClient.Builder()
@@ -73,7 +85,7 @@
         .writeTimeout(WRITE_TIMEOUT.inWholeMilliseconds, TimeUnit.MILLISECONDS)
         .readTimeout(0, TimeUnit.MILLISECONDS)
         .eventListener(SendListener())
-        .addNetworkInterceptor(stripRetryAfter)
+        .addNetworkInterceptor(takeRetryAfter)
         .limitUnreadBytes()
         .build()
 
@@ -102,7 +114,8 @@
 
     /** Executes [call] and waits for the head of the response. Blocks the thread. */
     fun send(call: Call): SendResult = try {
-        SendResult.ResponseReceived(call.execute())
+        val response = call.execute()
+        SendResult.ResponseReceived(response, call.request().tag(SendProgress::class.java)?.retryAfter.orEmpty())
     } catch (e: IOException) {
         val cause = e.message ?: e.javaClass.simpleName
         val isStarted = call.request().tag(SendProgress::class.java)?.isStarted == true
@@ -155,3 +168,5 @@
         val SECOND_CONNECT_DELAY = 20.milliseconds
     }
 }
+
+private const val RETRY_AFTER = "Retry-After"
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointSender.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointSender.kt
@@ -1,7 +1,6 @@
 package org.celerywalk.gateway
 
 import okhttp3.Call
-import okhttp3.Response
 import org.celerywalk.endpoint.RegisteredEndpoint
 import org.celerywalk.platform.wire.EndpointResponseHeaders
 import org.celerywalk.platform.wire.ForwardedHeaders
@@ -95,7 +94,7 @@
             is SendResult.NotSent -> AttemptOutcome.NotExecuted(result.cause, wasSent = false)
             is SendResult.ResponseLost -> AttemptOutcome.ResponseLost(result.cause)
             is SendResult.ResponseReceived -> result.response.use { response ->
-                classify(endpoint, response, expectedWeightsVersion, onBodyRead)
+                classify(endpoint, result, expectedWeightsVersion, onBodyRead)
                     // Closes the connection without reading the rest of the response.
                     .also { if (it is AttemptOutcome.ResponseLost) call.cancel() }
             }
@@ -103,11 +102,13 @@
 
     private fun classify(
         endpoint: RegisteredEndpoint,
-        response: Response,
+        result: SendResult.ResponseReceived,
         expectedWeightsVersion: Int?,
         onBodyRead: () -> Unit,
     ): AttemptOutcome {
-        val headers = EndpointResponseHeaders.decode(response.code) { response.header(it) }
+        val response = result.response
+        val headers = EndpointResponseHeaders.decode(response.code, result::fields)
+        recordNotices(endpoint, headers)
         // An endpoint may repeat the response to another request. One without an ID is the only one of its connection.
         if (headers.attemptId != null && headers.attemptId != exchange.caller.attemptId) {
             return AttemptOutcome.ResponseLost("response to another request")
@@ -123,6 +124,26 @@
         }
     }
 
+    private fun recordNotices(endpoint: RegisteredEndpoint, headers: EndpointResponseHeaders) {
+        if (headers.endpointId != null && headers.endpointId != endpoint.id) return
+        val notices = state.directory.notices
+        if (headers.isLeaving && notices.recordLeaving(endpoint.start)) {
+            context.log.write("endpoint_says_leaving", "id" to exchange.caller.attemptId, "endpoint" to endpoint.id)
+        }
+        val pause = headers.pause
+        if (pause == null) {
+            if (!headers.isNotExecuted) notices.recordAnswer(endpoint.start)
+        } else if (pause > Duration.ZERO) {
+            notices.recordPause(endpoint.start, pause)
+            context.log.write(
+                "endpoint_pauses",
+                "id" to exchange.caller.attemptId,
+                "endpoint" to endpoint.id,
+                "ms" to pause.inWholeMilliseconds,
+            )
+        }
+    }
+
     private fun recordHealth(endpoint: RegisteredEndpoint, outcome: AttemptOutcome, duration: Duration) {
         val load = state.loads.getOrCreate(endpoint.id)
         when {
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
@@ -33,7 +33,11 @@
     private val timeSource = SuspendAwareTimeSource()
     private val calls = PlatformCalls(platformClient())
     private val table = PlatformTable(calls, settings.store.toString())
-    private val replicas = ReplicaCalls(calls)
+    private val replicas = ReplicaCalls(calls) { address, startedAtMillis ->
+        state.directory.recordLeaving(address, startedAtMillis)?.let {
+            log.write("endpoint_says_leaving", "endpoint" to it.id, "address" to address)
+        }
+    }
     private val membership = Membership(settings, table, timeSource, log)
     private val state = FleetState(settings, timeSource, { membership.gatewayCount }, { membership.quotaShare })
     private val lease = OrderLeaseManager(settings, table, timeSource, log)
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/PeerExchange.kt
@@ -142,6 +142,7 @@
             ejectedEndpoints = loads.filterValues { it.health.isEjectedByOwnCalls }.keys.toSet(),
             weightAges = models.associateWith { state.weightHistoryOf(it).latestVersionAges() },
             placements = buildList { placements.drain(::add) },
+            leavingEndpoints = state.directory.notices.leavingStarts,
             holdsLease = holdsLease(),
         )
     }
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/PeerState.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/PeerState.kt
@@ -1,6 +1,7 @@
 package org.celerywalk.gateway
 
 import org.celerywalk.cache.CacheEvents
+import org.celerywalk.endpoint.EndpointStart
 import org.celerywalk.quarantine.PartEvidence
 import org.celerywalk.routing.EndpointWork
 import kotlin.time.Duration
@@ -27,6 +28,7 @@
  * @property placements prompts that the sender has placed since its last message; not repeated.
  * @property cacheEvents events of the caches that the sender reads, by holder; without events, its position in them.
  * @property suspectParts what the sender knows of prompt parts under which endpoints crashed.
+ * @property leavingEndpoints endpoints that have told the sender that they are leaving.
  * @property holdsLease true if the sender holds the lease for weight orders.
  */
 internal data class PeerState(
@@ -45,6 +47,7 @@
     val placements: List<PeerPlacement> = emptyList(),
     val cacheEvents: Map<String, CacheEvents> = emptyMap(),
     val suspectParts: Map<String, PartEvidence> = emptyMap(),
+    val leavingEndpoints: Set<EndpointStart> = emptySet(),
     val holdsLease: Boolean = false,
 ) {
     /**
@@ -61,6 +64,7 @@
             (previous.work.keys - work.keys).associateWith { EndpointWork() },
         versions = versions.changesSince(previous.versions),
         weightAges = emptyMap(),
+        leavingEndpoints = leavingEndpoints - previous.leavingEndpoints,
     )
 
     private fun <V> Map<String, V>.changesSince(previous: Map<String, V>): Map<String, V> =
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/PeerStateCodec.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/PeerStateCodec.kt
@@ -19,6 +19,7 @@
     private const val CHANGING = "changing"
     private const val EJECTED = "ejected"
     private const val PLACED = "placed"
+    private const val LEAVING = "leaving"
     private const val LEASE = "lease"
     private const val WEIGHT_AGES = "weight-ages"
     private const val CACHES = "caches"
@@ -47,6 +48,11 @@
         root.putEach(SUSPECTS, state.suspectParts) { part, evidence ->
             PartEvidenceCodec.encode(evidence, putObject(part))
         }
+        if (state.leavingEndpoints.isNotEmpty()) {
+            root.putArray(LEAVING).let { array ->
+                state.leavingEndpoints.forEach { EndpointStartCodec.encode(it, array.addArray()) }
+            }
+        }
         if (state.holdsLease) root.put(LEASE, true)
         return JsonTree.encode(root)
     }
@@ -75,6 +81,7 @@
             placements = root.path(PLACED).mapNotNull(::decodePlacement),
             cacheEvents = root.path(CACHES).toMap(CacheEventsCodec::decode),
             suspectParts = root.path(SUSPECTS).toMap(PartEvidenceCodec::decode),
+            leavingEndpoints = root.path(LEAVING).mapNotNull(EndpointStartCodec::decode).toSet(),
             holdsLease = root.path(LEASE).asBoolean(),
         )
     }
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/PeerStateReceiver.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/PeerStateReceiver.kt
@@ -61,6 +61,9 @@
         state.quarantine.merge(message.suspectParts).forEach {
             log.write("part_quarantined", "part" to it, "peer" to message.sender)
         }
+        state.directory.notices.mergeLeaving(message.leavingEndpoints).forEach {
+            log.write("endpoint_says_leaving", "endpoint" to it.id, "peer" to message.sender)
+        }
         if (message.holdsLease) peerLeaseReportedAt = state.timeSource.markNow()
         applyConfirmation(message)
     }
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/QuarantineEnforcer.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/QuarantineEnforcer.kt
@@ -98,7 +98,7 @@
     // A planned end, a lost machine and a cut or reset connection don't count: the endpoint then drains, has left the
     // registry, is silent, or still accepts connections.
     private fun hasCrashed(endpoint: RegisteredEndpoint): Boolean {
-        val isExpectedToServe = state.directory.endpoints[endpoint.id]?.isDraining == false
+        val isExpectedToServe = state.directory.endpoints[endpoint.id]?.let(state.directory::isLeaving) == false
         return isExpectedToServe && client.refusesConnections(endpoint.address)
     }
 
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/RequestForwarder.kt
@@ -22,6 +22,7 @@
     private val sentEndpointIds = mutableListOf<String>()
     private val relay = ResponseRelay(exchange, route, context.sendContext.responseMemory)
     private val sender = EndpointSender(exchange, route, admitted.body, relay, context.state, context.sendContext)
+    private val candidates = CandidateSelector(context.state, context.random)
     private val quarantine = context.quarantine.begin(exchange.caller)
     private var executions = 0
     private var lastServerError: BufferedResponse? = null
@@ -66,16 +67,13 @@
 
     private fun sendToNextEndpoint(): AttemptOutcome {
         quarantine.reject()?.let { return it }
-        val serving = context.state.directory.servingEndpoints(service)
-        // If no other endpoint is left, a stream that has begun is sent again to endpoints that refused it, so that it
-        // is not broken off.
-        val candidates = serving.filter { it.id !in sentEndpointIds }
-            .ifEmpty { if (hasResponseBegun) serving else emptyList() }
+        val selection = candidates.select(service, sentEndpointIds, mayRepeat = hasResponseBegun)
         val engine = admitted.activeConfiguration.configuration.services[service]?.engine
         return when {
             exchange.cancelReason != null -> AttemptOutcome.Cancelled
-            engine == null || exchange.caller.model == null -> sendToServiceEndpoint(candidates)
-            else -> sendToReplica(candidates)
+            selection.pauseEnd != null -> AttemptOutcome.Rejected("endpoints_pause", selection.pauseEnd)
+            engine == null || exchange.caller.model == null -> sendToServiceEndpoint(selection.endpoints)
+            else -> sendToReplica(selection.endpoints)
         }
     }
 
--- a/library/src/main/kotlin/org/celerywalk/endpoint/EndpointDirectory.kt
+++ b/library/src/main/kotlin/org/celerywalk/endpoint/EndpointDirectory.kt
@@ -24,13 +24,32 @@
     private var lastReadAt: ComparableTimeMark? = null
     private var outageEndedAt: ComparableTimeMark? = null
 
+    /** What endpoints have stated about themselves in responses. */
+    public val notices: EndpointNotices = EndpointNotices(timeSource)
+
     /** Endpoints by id, including those that are draining. */
     public val endpoints: Map<String, RegisteredEndpoint>
         @Synchronized get() = knownEndpoints
 
     /** Returns the endpoints of [service] that accept new requests. */
     public fun servingEndpoints(service: String): List<RegisteredEndpoint> =
-        endpoints.values.filter { it.service == service && !it.isDraining }
+        endpoints.values.filter { it.service == service && !isLeaving(it) }
+
+    /** Returns true if [endpoint] is draining, by the registry or by its own statement. */
+    public fun isLeaving(endpoint: RegisteredEndpoint): Boolean =
+        endpoint.isDraining || notices.isLeaving(endpoint.start)
+
+    /**
+     * Records that the endpoint at [address] has stated that it is leaving, and returns it if this was not known.
+     *
+     * The endpoint is ignored if it started at another time than [startedAtMillis], unless one of them is unknown.
+     */
+    public fun recordLeaving(address: String, startedAtMillis: Long?): RegisteredEndpoint? {
+        val endpoint = endpoints.values.firstOrNull { it.address == address } ?: return null
+        val isOtherStart =
+            startedAtMillis != null && endpoint.startedAtMillis != null && startedAtMillis != endpoint.startedAtMillis
+        return endpoint.takeIf { !isOtherStart && notices.recordLeaving(it.start) }
+    }
 
     /** Replaces the known endpoints by the registry's [entries] and returns the difference. */
     @Synchronized
@@ -43,6 +62,7 @@
         val keptEndpoints = if (mayReregister) knownEndpoints.filterKeys { it !in listedEndpoints } else emptyMap()
         val previousEndpoints = knownEndpoints
         knownEndpoints = withoutReplacedEndpoints(listedEndpoints + keptEndpoints)
+        notices.retain(knownEndpoints.values.mapTo(HashSet()) { it.start })
         return DirectoryChange(
             added = knownEndpoints.values.filter { it.id !in previousEndpoints },
             startedDraining = knownEndpoints.values
--- a/library/src/main/kotlin/org/celerywalk/endpoint/RegisteredEndpoint.kt
+++ b/library/src/main/kotlin/org/celerywalk/endpoint/RegisteredEndpoint.kt
@@ -19,4 +19,7 @@
     val isDraining: Boolean,
     val startedAtMillis: Long?,
     val models: Map<String, Int>,
-)
+) {
+    /** The start that registered this entry. */
+    val start: EndpointStart get() = EndpointStart(id, startedAtMillis)
+}
