Ignore numbers of a caller that are out of range

Cause: a negative token count in X-Token-Usage, X-Prompt-Prefix or X-Length-Hint was taken as it stood. A caller could gain quota by it and make a replica look empty; sums beyond an Int did the same. Change: such a field counts as missing, as other malformed fields do.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GenerationPlacer.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GenerationPlacer.kt
@@ -104,7 +104,7 @@
             model = caller.model.orEmpty(),
             parts = caller.promptParts,
             promptTokens = maxOf(caller.promptTokens, caller.promptParts.sumOf { it.tokens }),
-            outputTokens = caller.expectedOutputTokens ?: caller.maxOutputTokens,
+            outputTokens = caller.outputTokens,
             isolatedAccount = admitted.account?.takeIf { it.isIsolated }?.name,
             firstTokenTimeLeft = (admitted.route.latencyTarget - exchange.elapsed())
                 .coerceAtLeast(MIN_FIRST_TOKEN_TARGET),
