Give every accepted request a final response in a planned stop

Cause: for 2.5 s of a stop, requests of any length were accepted; those that were open at the end of the grace period were cut off with the process, also ones that may not be repeated. A request whose body arrived after that time was passed on as well, because the phase was checked before the body was read. Change: PlannedStop holds the phases. A request is refused before it is passed on if the gateway refuses by then, or if twice the usual duration of its stream exceeds the time that is left. What is open at the end gets 502, or 503 if nothing was sent, in the last second of the grace period.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/CallerExchange.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/CallerExchange.kt
@@ -20,6 +20,9 @@
 
     /** The caller's deadline or the route's timeout has passed. */
     TIME_IS_UP,
+
+    /** The process is about to end. */
+    STOPPING,
 }
 
 /** Request of a caller, with its decoded fields, its response and its cancellation. */
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointSender.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointSender.kt
@@ -69,14 +69,14 @@
         send: () -> AttemptOutcome,
     ): AttemptOutcome {
         val sentAt = exchange.elapsed()
-        val expectedTokens = exchange.caller.expectedOutputTokens ?: exchange.caller.maxOutputTokens
+        val expectedTokens = exchange.caller.outputTokens
         val stream = tryTakeRelocation?.let { state.streams.begin(expectedTokens, it, call::cancel) }
         val sendOutcome = stream?.let { state.streams.add(endpoint.id, it) }.use { send() }
         val isRelocated = sendOutcome is AttemptOutcome.ResponseLost &&
             stream?.isRelocated == true && exchange.cancelReason == null
         val outcome = if (isRelocated) AttemptOutcome.Relocated else sendOutcome
         val duration = exchange.elapsed() - sentAt
-        if (stream != null && outcome is AttemptOutcome.Completed) {
+        if (exchange.caller.model != null && outcome is AttemptOutcome.Completed) {
             state.streams.recordCompletion(expectedTokens, duration)
         }
         recordHealth(endpoint, outcome, duration)
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
@@ -45,7 +45,7 @@
     private val cacheEvents =
         CacheEventSubscriptions(state, replicas, log, metrics) { membership.reachablePeers }
     private val peers = PeerExchange(state, membership, log, metrics, cacheEvents) {
-        !isStopping && lease.isHeld && storeSync.hasReadWithin(LEASE_CLAIM_MAX_AGE)
+        !plannedStop.hasBegun && lease.isHeld && storeSync.hasReadWithin(LEASE_CLAIM_MAX_AGE)
     }
     private val quarantineSync = QuarantineSync(state, table, log) { membership.reachablePeers }
     private val weightRollout: WeightRolloutController =
@@ -53,15 +53,14 @@
     private val timers: ScheduledExecutorService = ScheduledThreadPoolExecutor(1) { task ->
         Thread(task, "timeouts").apply { isDaemon = true }
     }.apply { removeOnCancelPolicy = true }
-    private val handler = RequestHandler(state, createForwardingContext(), log, metrics)
+    private val plannedStop =
+        PlannedStop(timeSource, BALANCER_REACTION_TIME, settings.bounds.stopGrace - STOP_MARGIN)
+    private val handler = RequestHandler(state, createForwardingContext(), log, metrics, plannedStop)
     private val server = GatewayServer(settings, handler, Pages(), callersSocket)
 
     // Kept in a field, since java.util.logging only weakly references loggers and loses their level with them.
     private val jettyResponseLogger = Logger.getLogger("org.eclipse.jetty.server.Response")
 
-    @Volatile
-    private var isStopping = false
-
     /** Starts all background tasks and the server. The process is ready once it has read the state of the fleet. */
     public fun start() {
         // Libraries log to java.util.logging, which starts faster than tinylog; events of the gateway go to EventLog.
@@ -89,22 +88,29 @@
         log.write("listening")
     }
 
-    /** Reports not ready, completes open requests, and returns before the stop grace period ends. */
+    /**
+     * Reports not ready, completes open requests, and returns before the stop grace period ends. A request that is not
+     * complete by then gets a final response that says whether it may have run.
+     */
     public fun stop() {
         log.write("stop", "open" to handler.openRequestCount)
-        isStopping = true
-        handler.isStopping = true
+        val stoppedAt = timeSource.markNow()
+        plannedStop.begin()
         weightRollout.stopOrdering()
         membership.leave()
-        val stoppedAt = timeSource.markNow()
-        val drainTimeout = settings.bounds.stopGrace - STOP_MARGIN
-        while (stoppedAt.elapsedNow() < BALANCER_REACTION_TIME) sleep(DRAIN_CHECK_INTERVAL)
-        handler.isRefusing = true
-        while (stoppedAt.elapsedNow() < drainTimeout && handler.openRequestCount > 0) sleep(DRAIN_CHECK_INTERVAL)
+        while (!plannedStop.isRefusing) sleep(DRAIN_CHECK_INTERVAL)
+        awaitOpenRequests { plannedStop.timeLeft }
+        handler.endOpenRequests()
+        val endedAt = timeSource.markNow()
+        awaitOpenRequests { FINAL_RESPONSE_TIME - endedAt.elapsedNow() }
         log.write("stopped", "open" to handler.openRequestCount, "after" to stoppedAt.elapsedNow())
         log.close()
     }
 
+    private fun awaitOpenRequests(timeLeft: () -> Duration) {
+        while (timeLeft() > Duration.ZERO && handler.openRequestCount > 0) sleep(DRAIN_CHECK_INTERVAL)
+    }
+
     private fun sleep(duration: Duration) = LockSupport.parkNanos(duration.inWholeNanoseconds)
 
     private fun createForwardingContext(): ForwardingContext {
@@ -132,7 +138,7 @@
         .build()
 
     private inner class Pages : StatusPages {
-        override fun isReady(): Boolean = !isStopping &&
+        override fun isReady(): Boolean = !plannedStop.hasBegun &&
             state.activeConfiguration != null &&
             storeSync.hasReadRegistry &&
             state.confirmation.isWithin(settings.bounds.keyWithdrawal - CONFIRMATION_MARGIN)
@@ -156,6 +162,9 @@
         // If the lease holder has not read the store for this long, other gateways may take over the weight orders.
         val LEASE_CLAIM_MAX_AGE = 1500.milliseconds
         val STOP_MARGIN = 1.seconds
+
+        // Part of the margin in which the requests that are still open get their final response.
+        val FINAL_RESPONSE_TIME = 500.milliseconds
         val DRAIN_CHECK_INTERVAL = 50.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/RequestForwarder.kt
@@ -137,19 +137,21 @@
             exchange.cancelReason == CancelReason.CALLER_LEFT -> "caller_left".also { response.abort() }
             response.isCommitted -> "broken_off".also { response.abort() }
             serverError != null -> "failed".also { relay.sendBuffered(serverError) }
-            exchange.cancelReason == CancelReason.TIME_IS_UP -> refuseTimedOut()
+            exchange.cancelReason == CancelReason.TIME_IS_UP -> refuseCancelled("timeout", GATEWAY_TIMEOUT)
+            exchange.cancelReason == CancelReason.STOPPING -> refuseCancelled("stopping", BAD_GATEWAY)
             executions > 0 -> "lost".also { response.refuse(BAD_GATEWAY, "endpoint_lost", null) }
             else -> refuseNotExecuted(outcome)
         }
     }
 
-    private fun refuseTimedOut(): String {
+    // Only a request that was not sent may be refused with the promise that it has not run.
+    private fun refuseCancelled(reason: String, statusIfSent: Int): String {
         if (executions > 0) {
-            exchange.response.refuse(GATEWAY_TIMEOUT, "timeout", null)
+            exchange.response.refuse(statusIfSent, reason, null)
         } else {
-            exchange.response.refuse(UNAVAILABLE, "timeout_before_start", null)
+            exchange.response.refuse(UNAVAILABLE, "${reason}_before_start", null)
         }
-        return "timeout"
+        return reason
     }
 
     private fun refuseNotExecuted(outcome: AttemptOutcome): String {
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/RequestHandler.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/RequestHandler.kt
@@ -4,6 +4,7 @@
 import org.eclipse.jetty.server.Response
 import org.eclipse.jetty.util.Callback
 import java.io.IOException
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
@@ -16,33 +17,30 @@
     private val forwardingContext: ForwardingContext,
     private val log: EventLog,
     private val metrics: GatewayMetrics,
+    private val stop: PlannedStop,
 ) {
     private val admission = Admission(state)
     private val openRequests = AtomicInteger()
-
-    /** True once the process was told to stop; each response then closes its connection. Set by another thread. */
-    @Volatile
-    var isStopping: Boolean = false
-
-    /** True once the process is about to end; new requests are then refused. Set by another thread. */
-    @Volatile
-    var isRefusing: Boolean = false
+    private val forwardedExchanges = ConcurrentHashMap.newKeySet<CallerExchange>()
 
     /** Number of requests that are being handled. */
     val openRequestCount: Int get() = openRequests.get()
 
+    /** Cancels all forwarded requests, each of which then gets its final response. */
+    fun endOpenRequests() = forwardedExchanges.forEach { it.cancel(CancelReason.STOPPING) }
+
     /** Handles [request] and blocks until its response is complete or its connection is closed. */
     fun handle(request: Request, response: Response, callback: Callback) {
-        val exchange = CallerExchange(request, response, callback, state.timeSource.markNow(), isStopping)
+        val exchange = CallerExchange(request, response, callback, state.timeSource.markNow(), stop.hasBegun)
         try {
             openRequests.incrementAndGet()
-            if (isRefusing) {
-                refuse(exchange, Refusal(UNAVAILABLE, "stopping", STOPPING_RETRY_AFTER))
+            if (stop.isRefusing) {
+                refuse(exchange, STOPPING_REFUSAL)
             } else if (openRequests.get() > MAX_OPEN_REQUESTS) {
                 refuse(exchange, Refusal(UNAVAILABLE, "too_many_requests", OVERLOAD_RETRY_AFTER))
             } else {
                 state.startupGate.awaitReady((exchange.caller.timeLeft ?: Duration.INFINITE) / START_WAIT_DIVISOR)
-                admission.admit(exchange).fold({ refuse(exchange, it) }, { forward(exchange, it) })
+                admission.admit(exchange).fold({ refuse(exchange, it) }, { forwardUnlessStopping(exchange, it) })
             }
         } catch (e: IOException) {
             log.write("caller_gone", "id" to exchange.caller.attemptId, "cause" to e.message)
@@ -52,6 +50,21 @@
         }
     }
 
+    // The body may have taken long to arrive, and a response that the process can't complete would be cut off.
+    private fun forwardUnlessStopping(exchange: CallerExchange, admitted: AdmittedRequest) {
+        if (stop.isRefusing || expectedDuration(exchange) * DURATION_MARGIN > stop.timeLeft) {
+            admitted.refund()
+            refuse(exchange, STOPPING_REFUSAL)
+        } else {
+            forward(exchange, admitted)
+        }
+    }
+
+    private fun expectedDuration(exchange: CallerExchange): Duration {
+        val caller = exchange.caller
+        return if (caller.model == null) Duration.ZERO else state.streams.expectedDuration(caller.outputTokens)
+    }
+
     private fun forward(exchange: CallerExchange, admitted: AdmittedRequest) {
         val timeout = minOf(admitted.route.timeout, exchange.caller.timeLeft ?: Duration.INFINITE)
         val timeLeft = timeout - exchange.elapsed() - RESPONSE_DELIVERY_TIME
@@ -61,11 +74,15 @@
             TimeUnit.MILLISECONDS,
         )
         exchange.watchForDisconnect()
+        forwardedExchanges += exchange
         try {
+            // The end of the open requests may have come just before this one was added to them.
+            if (stop.timeLeft == Duration.ZERO) exchange.cancel(CancelReason.STOPPING)
             val forwarder = RequestForwarder(exchange, admitted, timeout, forwardingContext)
             val outcome = forwarder.forward()
             recordDone(exchange, admitted.route.name, outcome, forwarder.endpointIds)
         } finally {
+            forwardedExchanges -= exchange
             exchange.stopWatching()
             timer.cancel(false)
         }
@@ -101,7 +118,10 @@
         // A request waits at most a third of its time for the gateway to start; the remaining time is for the response.
         const val START_WAIT_DIVISOR = 3
         val OVERLOAD_RETRY_AFTER = 1.seconds
-        val STOPPING_RETRY_AFTER = 50.milliseconds
+        val STOPPING_REFUSAL = Refusal(UNAVAILABLE, "stopping", 50.milliseconds)
+
+        // The expected duration of a stream is a median; few streams take twice as long.
+        const val DURATION_MARGIN = 2
 
         // Subtracted from a request's time, so that the final response can still reach the caller.
         val RESPONSE_DELIVERY_TIME = 8.milliseconds
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/TestFleet.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/TestFleet.kt
@@ -8,10 +8,10 @@
 import java.net.Socket
 import java.util.concurrent.atomic.AtomicInteger
 
-/** Gateway with a store and endpoints. */
-internal class TestFleet : AutoCloseable {
+/** Gateway with a store and endpoints; [bounds] changes the bounds of [testSettings]. */
+internal class TestFleet(bounds: GatewayBounds.() -> GatewayBounds = { this }) : AutoCloseable {
     val store = StoreStandIn()
-    val gateway = TestGateway(store)
+    val gateway = TestGateway(store, bounds)
     private val attemptNumber = AtomicInteger()
     private val standIns = mutableListOf<EndpointStandIn>()
 
--- a/library/src/main/kotlin/org/celerywalk/stream/RelocatableStreams.kt
+++ b/library/src/main/kotlin/org/celerywalk/stream/RelocatableStreams.kt
@@ -25,11 +25,13 @@
      * @param cancel cancels the call to the endpoint.
      */
     public fun begin(expectedTokens: Int, tryAcquireRetry: () -> Boolean, cancel: () -> Unit): RelocatableStream {
-        val durationPerToken = synchronized(timePerToken) { timePerToken.value }
-        val expectedTime = if (expectedTokens > 0) durationPerToken * expectedTokens else Duration.INFINITE
+        val expectedTime = if (expectedTokens > 0) expectedDuration(expectedTokens) else Duration.INFINITE
         return RelocatableStream(timeSource.markNow(), expectedTime, tryAcquireRetry, cancel)
     }
 
+    /** Estimates the duration of a stream of [tokens] tokens by those that have completed. */
+    public fun expectedDuration(tokens: Int): Duration = synchronized(timePerToken) { timePerToken.value } * tokens
+
     /** Updates the time per token by a completed stream that was expected to have [expectedTokens] tokens. */
     public fun recordCompletion(expectedTokens: Int, duration: Duration) {
         if (expectedTokens > 0) synchronized(timePerToken) { timePerToken.add(duration / expectedTokens) }
