Share the watch of the store, and compress messages between gateways

Cause: every gateway polled the operators' table and the registry once a second, whatever the size of the fleet, and sent each message as plain JSON to all others. Change: up to four gateways, chosen by rendezvous hashing, watch the store (StoreWatch). They tell a change at once; the others then read it themselves, and poll by themselves only when the confirmation, which they get from peers, is older than half of the withdrawal time of keys. A gateway that hears from fewer than six peers watches by itself, so that small fleets work as before. The registry is read twice within the drain time of endpoints (new setting bounds.endpoint-drain-ms), at most once a second. Messages are deflated with a dictionary (PeerMessageCompressor); gateways of the release before can't read them. Alternatives: a longer wait of each poll (a poll that hangs while the store drops its history may miss a change), and one gateway for each data centre that forwards messages (later, if the bytes still count).

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/FleetState.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/FleetState.kt
@@ -43,7 +43,11 @@
     val confirmation = StoreConfirmation()
 
     val startupGate = StartupGate(timeSource, MAX_STARTUP_HOLD)
-    val directory = EndpointDirectory(timeSource, REGISTRY_OUTAGE_THRESHOLD, REREGISTRATION_GRACE)
+    val directory = EndpointDirectory(
+        timeSource,
+        RegistrySync.readInterval(settings.bounds) + REGISTRY_OUTAGE_MARGIN,
+        REREGISTRATION_GRACE,
+    )
     val loads = FleetLoads(timeSource)
     val locations = PartLocations(timeSource, SENT_PART_TTL)
     val streams = RelocatableStreams(timeSource)
@@ -98,8 +102,8 @@
         // A store that has not answered within this time may be unavailable for a long time.
         val MAX_STARTUP_HOLD = 2.seconds
 
-        // The registry is read every second.
-        val REGISTRY_OUTAGE_THRESHOLD = 3500.milliseconds
+        // Time by which a read of the registry may be late before the registry counts as having been down.
+        val REGISTRY_OUTAGE_MARGIN = 2500.milliseconds
         val REREGISTRATION_GRACE = 2500.milliseconds
 
         // Cache events report a prompt part within a few hundred milliseconds after its prefill.
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
@@ -3,6 +3,7 @@
 import okhttp3.ConnectionPool
 import okhttp3.ConnectionSpec
 import okhttp3.OkHttpClient
+import org.celerywalk.instance.StoreWatch
 import org.celerywalk.instance.SuspendAwareTimeSource
 import org.celerywalk.limit.MemoryBudget
 import org.celerywalk.platform.wire.PlatformCalls
@@ -41,15 +42,16 @@
     private val membership = Membership(settings, table, timeSource, log)
     private val state = FleetState(settings, timeSource, { membership.gatewayCount }, { membership.quotaShare })
     private val lease = OrderLeaseManager(settings, table, timeSource, log)
-    private val storeSync: StoreSync = StoreSync(state, table, log) { weightRollout.runSoon() }
+    private val storeWatch = StoreWatch(settings.instance) { membership.reachablePeers }
+    private val storeSync: StoreSync = StoreSync(state, table, log, SharedStoreEvents())
     private val cacheEvents =
         CacheEventSubscriptions(state, replicas, log, metrics) { membership.reachablePeers }
-    private val peers = PeerExchange(state, membership, log, metrics, cacheEvents) {
-        !plannedStop.hasBegun && lease.isHeld && storeSync.hasReadWithin(LEASE_CLAIM_MAX_AGE)
-    }
+    private val peers: PeerExchange = PeerExchange(state, membership, log, metrics, cacheEvents, LeaseAndReads())
     private val quarantineSync = QuarantineSync(state, table, log) { membership.reachablePeers }
     private val weightRollout: WeightRolloutController =
-        WeightRolloutController(state, lease, replicas, log, { !lease.isHeld && peers.peerHoldsLease }, peers::sendSoon)
+        WeightRolloutController(state, lease, replicas, log, { !lease.isHeld && peers.peerHoldsLease }) {
+            peers.sendSoon()
+        }
     private val timers: ScheduledExecutorService = ScheduledThreadPoolExecutor(1) { task ->
         Thread(task, "timeouts").apply { isDaemon = true }
     }.apply { removeOnCancelPolicy = true }
@@ -137,6 +139,22 @@
         .readTimeout(0, TimeUnit.MILLISECONDS)
         .build()
 
+    private inner class SharedStoreEvents : StoreEvents {
+        // The holder of the lease may order weights only while it reads the store itself.
+        override fun isWatcher(): Boolean = lease.isHeld || storeWatch.isWatcher
+
+        override fun onChange() = peers.sendSoon(isComplete = true)
+
+        override fun onNewWeights() = weightRollout.runSoon()
+    }
+
+    private inner class LeaseAndReads : StoreLink {
+        override fun holdsLease(): Boolean =
+            !plannedStop.hasBegun && lease.isHeld && storeSync.hasReadWithin(LEASE_CLAIM_MAX_AGE)
+
+        override fun readSoon() = storeSync.readSoon()
+    }
+
     private inner class Pages : StatusPages {
         override fun isReady(): Boolean = !plannedStop.hasBegun &&
             state.activeConfiguration != null &&
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewaySettings.kt
@@ -46,6 +46,7 @@
  * @property retryRatio retries to a service, as a share of its requests in [retryWindow].
  * @property retryAllowance retries of all gateways together in addition to that share.
  * @property orderLease minimum time between the weight orders of two different processes to an endpoint.
+ * @property endpointDrain time from an endpoint's announcement that it drains until it may get no more requests.
  * @property weightsDeadline time from the announcement of new weights until no request may start on older ones.
  * @property quotaOverage share of its rate by which a client account may exceed it.
  */
@@ -56,6 +57,7 @@
     val retryWindow: Duration,
     val retryAllowance: Int,
     val orderLease: Duration,
+    val endpointDrain: Duration,
     val weightsDeadline: Duration,
     val quotaOverage: Double,
 )
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewaySettingsFile.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewaySettingsFile.kt
@@ -52,6 +52,7 @@
                 retryWindow = number("bounds.retry-window-s").seconds,
                 retryAllowance = number("bounds.retry-allowance").toInt(),
                 orderLease = millis("bounds.order-lease-ms"),
+                endpointDrain = millis("bounds.endpoint-drain-ms"),
                 weightsDeadline = millis("bounds.weights-deadline-ms"),
                 quotaOverage = number("bounds.quota-overage"),
             ),
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/OperatorsSync.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/OperatorsSync.kt
@@ -24,10 +24,10 @@
     private val table: PlatformTable,
     private val reachability: StoreReachability,
     private val log: EventLog,
-    private val onNewWeights: () -> Unit,
+    private val events: StoreEvents,
 ) : AutoCloseable {
     private val task = PeriodicTask("store-operators", { nextDelay }, log, ::followOperators)
-    private val maxFeedWait = minOf(MAX_FEED_WAIT, state.settings.bounds.keyWithdrawal / POLLS_PER_KEY_WITHDRAWAL)
+    private val schedule = StorePollSchedule(state, events)
 
     // Version of the newest known row, or null if the rows have to be read as a whole. It does not advance without a
     // row, so that no change is skipped that the feed has not reported.
@@ -38,8 +38,8 @@
     @Volatile
     private var lastReadAt: ComparableTimeMark? = null
 
-    /** True if this process itself read the table at most [age] ago. */
-    fun hasReadWithin(age: Duration): Boolean = lastReadAt?.let { it.elapsedNow() <= age } ?: false
+    /** Time since this process itself has read the table, infinite before its first read. */
+    val timeSinceRead: Duration get() = lastReadAt?.elapsedNow() ?: Duration.INFINITE
 
     fun start() {
         task.start()
@@ -49,9 +49,19 @@
         task.close()
     }
 
+    /** Reads the table soon, since a peer has read something newer in it. */
+    fun readSoon() {
+        if (schedule.requestPoll() && timeSinceRead > FOLLOWER_CHECK_INTERVAL) task.runSoon()
+    }
+
     private fun followOperators() {
         val version = knownVersion
+        if (version != null && !schedule.isPollDue) {
+            nextDelay = FOLLOWER_CHECK_INTERVAL
+            return
+        }
         val outcome = if (version == null) readAll() else awaitChange(version)
+        if (outcome.isRight()) schedule.recordPoll()
         nextDelay = if (outcome.isLeft() || knownVersion == null) ERROR_DELAY else FEED_DELAY
     }
 
@@ -64,7 +74,7 @@
 
     private fun awaitChange(version: Long): Either<CallError, Unit> {
         val sentAt = state.timeSource.markNow()
-        return table.awaitChange(OPERATORS_TABLE, version, maxFeedWait, TRANSFER_TIMEOUT).fold(
+        return table.awaitChange(OPERATORS_TABLE, version, schedule.feedWait, TRANSFER_TIMEOUT).fold(
             { error ->
                 knownVersion = version.takeIf { error.status != PlatformTable.HISTORY_GONE }
                 if (knownVersion == null) readAll() else error.left().also { reachability.recordFailure(error) }
@@ -106,7 +116,8 @@
         val weights = FleetDocument.decodeTargetWeights(row.value) ?: return log.writeUnreadable(row)
         if (state.recordWeights(weights)) {
             log.write("weights_named", "model" to weights.model, "version" to weights.version)
-            onNewWeights()
+            events.onChange()
+            events.onNewWeights()
         }
     }
 
@@ -119,6 +130,7 @@
                 "routes" to configuration.routes.size,
                 "accounts" to configuration.accounts?.size,
             )
+            events.onChange()
         }
         return state.activeConfiguration?.configuration?.version == configuration.version
     }
@@ -133,14 +145,10 @@
         // next one would have to start anew.
         val TRANSFER_TIMEOUT = 6.seconds
 
-        // Polls of the feed within the time for which API keys are accepted after a confirmation: each poll confirms
-        // the configuration and costs a call to the store.
-        const val POLLS_PER_KEY_WITHDRAWAL = 5
-        val MAX_FEED_WAIT = 1.seconds
-
         // Before the store reports that its history is gone, its feed may be silent about changes for a second.
         val MAX_FEED_LAG = 1.seconds
         val FEED_DELAY = 100.milliseconds
+        val FOLLOWER_CHECK_INTERVAL = 200.milliseconds
 
         // Limits the rate of calls during an outage: a refused call costs the store as much as a successful one.
         val ERROR_DELAY = 1.seconds
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/PeerExchange.kt
@@ -1,6 +1,7 @@
 package org.celerywalk.gateway
 
 import com.fasterxml.jackson.core.JsonProcessingException
+import org.celerywalk.cache.CacheEvents
 import org.celerywalk.cache.CacheScope
 import org.celerywalk.cache.PromptPart
 import org.celerywalk.endpoint.RegisteredEndpoint
@@ -12,10 +13,20 @@
 import java.nio.ByteBuffer
 import java.nio.channels.DatagramChannel
 import java.util.concurrent.ConcurrentHashMap
+import java.util.zip.DataFormatException
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
+/** Connects the exchange between gateways with this gateway's use of the store. */
+internal interface StoreLink {
+    /** Returns true if this gateway holds the lease for weight orders. */
+    fun holdsLease(): Boolean
+
+    /** Reads the store soon, since a peer has read something newer. */
+    fun readSoon()
+}
+
 /**
  * Exchanges state with the other gateways over UDP: admitted quota, work at endpoints, weights versions, suspect prompt
  * parts and the age of the last read of the store.
@@ -29,16 +40,18 @@
     private val log: EventLog,
     private val metrics: GatewayMetrics,
     private val cacheEvents: CacheEventSubscriptions,
-    private val holdsLease: () -> Boolean,
+    private val store: StoreLink,
 ) : AutoCloseable {
     private val timing = ExchangeTiming { membership.gatewayCount }
-    private val receiver = PeerStateReceiver(state, membership, timing, log, cacheEvents::applyReport) { number ->
-        synchronized(sendTimes) { sendTimes[number] }
+    private val receiver = PeerStateReceiver(state, membership, timing, log, ReceivedEvents()) {
+        synchronized(sendTimes) { sendTimes[it] }
     }
     private val placements = MpscArrayQueue<PeerPlacement>(PLACEMENT_QUEUE_CAPACITY)
     private val channel = DatagramChannel.open()
         .bind(InetSocketAddress(state.settings.callers.host, state.settings.peerPort))
         .apply { configureBlocking(false) }
+    private val sendCompressor = PeerMessageCompressor()
+    private val receiveCompressor = PeerMessageCompressor()
     private val receiveBuffer = ByteBuffer.allocate(MAX_MESSAGE_BYTES)
     private val sendTask = PeriodicTask("peers-send", timing::interval, log, ::sendState)
 
@@ -53,6 +66,9 @@
     private var lastSentEvidenceRevision = 0L
     private var completeStateSentAt: ComparableTimeMark? = null
 
+    @Volatile
+    private var isCompleteStateDue = false
+
     /** True if another gateway has recently reported that it holds the lease for weight orders. */
     val peerHoldsLease: Boolean get() = receiver.peerHoldsLease
 
@@ -61,8 +77,13 @@
         sendTask.start()
     }
 
-    /** Sends a message without waiting for the next interval, after a change that the peers should react to. */
-    fun sendSoon() {
+    /**
+     * Sends a message without waiting for the next interval, after a change that the peers should react to.
+     *
+     * @param isComplete true to send the whole state.
+     */
+    fun sendSoon(isComplete: Boolean = false) {
+        if (isComplete) isCompleteStateDue = true
         sendTask.runSoon()
     }
 
@@ -85,7 +106,7 @@
         state.loads.expirePeerReports(timing.silenceThreshold)
         val peers = membership.peerAddresses
         if (peers.isEmpty()) return
-        val message = PeerStateCodec.encode(nextMessage())
+        val message = sendCompressor.compress(PeerStateCodec.encode(nextMessage()))
         peers.forEach { peer ->
             try {
                 channel.send(ByteBuffer.wrap(message), InetSocketAddress(peer.host, peer.port))
@@ -101,11 +122,14 @@
         val currentState = completeState()
         lastSentState = currentState
         val completeSentAt = completeStateSentAt
-        val isComplete = previousState == null || completeSentAt == null ||
+        val isComplete = isCompleteStateDue || previousState == null || completeSentAt == null ||
             completeSentAt.elapsedNow() >= timing.completeStateInterval
         // Positions are taken before the reports, so that no position is ahead of the events that were reported.
         val positions = if (isComplete) cacheEvents.positions() else emptyMap()
-        if (isComplete) completeStateSentAt = state.timeSource.markNow()
+        if (isComplete) {
+            completeStateSentAt = state.timeSource.markNow()
+            isCompleteStateDue = false
+        }
         val message = if (isComplete) currentState else currentState.changesSince(checkNotNull(previousState))
         return message.copy(
             cacheEvents = positions + cacheEvents.takeReports(),
@@ -143,7 +167,7 @@
             weightAges = models.associateWith { state.weightHistoryOf(it).latestVersionAges() },
             placements = buildList { placements.drain(::add) },
             leavingEndpoints = state.directory.notices.leavingStarts,
-            holdsLease = holdsLease(),
+            holdsLease = store.holdsLease(),
         )
     }
 
@@ -158,15 +182,24 @@
         val sender = channel.receive(receiveBuffer) as InetSocketAddress? ?: return
         metrics.recordPeerMessage("received", receiveBuffer.position())
         try {
-            PeerStateCodec.decode(receiveBuffer.array(), receiveBuffer.position())?.let { message ->
+            val bytes = receiveCompressor.decompress(receiveBuffer.array(), receiveBuffer.position())
+            PeerStateCodec.decode(bytes, bytes.size)?.let { message ->
                 lastNumberByPeer[message.sender] = message.number
                 receiver.apply(message, SocketAddress(sender.address.hostAddress, sender.port))
             }
         } catch (e: JsonProcessingException) {
             log.write("peer_message_unreadable", "peer" to sender, "cause" to e.originalMessage)
+        } catch (e: DataFormatException) {
+            log.write("peer_message_unreadable", "peer" to sender, "cause" to e.message)
         }
     }
 
+    private inner class ReceivedEvents : PeerEvents {
+        override fun onCacheEvents(holder: String, events: CacheEvents) = cacheEvents.applyReport(holder, events)
+
+        override fun onNewerStoreState() = store.readSoon()
+    }
+
     private companion object {
         const val PLACEMENT_QUEUE_CAPACITY = 256
         const val MAX_MESSAGE_BYTES = 60_000
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/PeerStateReceiver.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/PeerStateReceiver.kt
@@ -8,13 +8,21 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
+/** Receives what the messages of other gateways report beside their view of the fleet. */
+internal interface PeerEvents {
+    /** A peer has read [events] of the cache of [holder]. */
+    fun onCacheEvents(holder: String, events: CacheEvents) = Unit
+
+    /** A peer has read a newer configuration or newer weights in the store. */
+    fun onNewerStoreState() = Unit
+}
+
 /**
  * Applies the messages of other gateways to this gateway's view of the fleet. Used by one thread.
  *
  * The time that a message takes must not grow with the number of gateways, endpoints or accounts, but only with what
  * the message reports.
  *
- * @param onCacheEvents applies reported events of the cache of a holder.
  * @param ownSendTime returns the time at which this process sent the message of a number, or null if unknown.
  */
 internal class PeerStateReceiver(
@@ -22,7 +30,7 @@
     private val membership: Membership,
     private val timing: ExchangeTiming,
     private val log: EventLog,
-    private val onCacheEvents: (String, CacheEvents) -> Unit,
+    private val events: PeerEvents,
     private val ownSendTime: (Long) -> ComparableTimeMark?,
 ) {
     private val weightChangeTracker = WeightChangeTracker(state, log)
@@ -57,7 +65,7 @@
             val parts = placement.partIds.map { PromptPart(it, 0) }
             state.locations.recordSent(placement.holder, CacheScope(placement.scope), parts)
         }
-        message.cacheEvents.forEach(onCacheEvents)
+        message.cacheEvents.forEach(events::onCacheEvents)
         state.quarantine.merge(message.suspectParts).forEach {
             log.write("part_quarantined", "part" to it, "peer" to message.sender)
         }
@@ -66,6 +74,16 @@
         }
         if (message.holdsLease) peerLeaseReportedAt = state.timeSource.markNow()
         applyConfirmation(message)
+        if (namesNewerState(message)) events.onNewerStoreState()
+    }
+
+    private fun namesNewerState(message: PeerState): Boolean {
+        val ownVersion = state.activeConfiguration?.configuration?.version
+        val hasNewerConfiguration =
+            message.configuration != null && (ownVersion == null || message.configuration > ownVersion)
+        return hasNewerConfiguration || message.weightAges.any { (model, ages) ->
+            (ages.keys.maxOrNull() ?: 0) > state.weightHistoryOf(model).newestVersion
+        }
     }
 
     // Only ages are taken from peers: a version counts as announced once this process itself has read it in the store.
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/RegistrySync.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/RegistrySync.kt
@@ -3,6 +3,7 @@
 import org.celerywalk.endpoint.RegisteredEndpoint
 import org.celerywalk.platform.wire.PlatformTable
 import org.celerywalk.platform.wire.RegistryDocument
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -13,7 +14,7 @@
     private val reachability: StoreReachability,
     private val log: EventLog,
 ) : AutoCloseable {
-    private val task = PeriodicTask("store-registry", READ_DELAY, log, ::readRegistry)
+    private val task = PeriodicTask("store-registry", readInterval(state.settings.bounds), log, ::readRegistry)
 
     /** True once the registry was read for the first time. */
     @Volatile
@@ -56,13 +57,21 @@
         log.write(event, "endpoint" to endpoint.id, "service" to endpoint.service, "address" to endpoint.address)
     }
 
-    private companion object {
-        const val REGISTRY_TABLE = "servers"
+    companion object {
+        private const val REGISTRY_TABLE = "servers"
 
-        // The registry is polled: a change feed would return many times a second, since every endpoint renews its
-        // registration about once a second. A draining endpoint must get no more work after two seconds.
-        val READ_DELAY = 1.seconds
-        val MAX_READ_SILENCE = 900.milliseconds
-        val TRANSFER_TIMEOUT = 6.seconds
+        private val MAX_READ_SILENCE = 900.milliseconds
+        private val TRANSFER_TIMEOUT = 6.seconds
+        private val MIN_READ_INTERVAL = 1.seconds
+        private const val READS_PER_DRAIN = 2
+
+        /**
+         * Time between two reads of the registry, so that a draining endpoint is seen within [bounds].
+         *
+         * The registry is polled: a change feed would return many times a second, since every endpoint renews its
+         * registration about once a second.
+         */
+        fun readInterval(bounds: GatewayBounds): Duration =
+            maxOf(MIN_READ_INTERVAL, bounds.endpointDrain / READS_PER_DRAIN)
     }
 }
--- /dev/null
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/StorePollSchedule.kt
@@ -0,0 +1,42 @@
+package org.celerywalk.gateway
+
+import java.util.concurrent.atomic.AtomicBoolean
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Decides when a gateway polls the feed of the operators' table.
+ *
+ * The gateways that watch the store poll it all the time. The others poll it if a peer has read something newer, or if
+ * the confirmation of the configuration, which they also get from peers, becomes old.
+ */
+internal class StorePollSchedule(private val state: FleetState, private val events: StoreEvents) {
+    private val isPollRequested = AtomicBoolean()
+    private val keyWithdrawal = state.settings.bounds.keyWithdrawal
+
+    /** Longest wait of a poll for a change. */
+    val feedWait: Duration
+        get() =
+            if (events.isWatcher()) minOf(MAX_FEED_WAIT, keyWithdrawal / POLLS_PER_KEY_WITHDRAWAL) else Duration.ZERO
+
+    /** True if this gateway should poll now. */
+    val isPollDue: Boolean
+        get() = events.isWatcher() || isPollRequested.get() ||
+            !state.confirmation.isWithin(keyWithdrawal / MAX_AGES_PER_KEY_WITHDRAWAL)
+
+    /** Requests a poll, and returns true if none was requested since the last one. */
+    fun requestPoll(): Boolean = !isPollRequested.getAndSet(true)
+
+    /** Records a poll. Peers request another one if it has not shown what they have read. */
+    fun recordPoll() = isPollRequested.set(false)
+
+    private companion object {
+        // Polls of the feed within the time for which API keys are accepted after a confirmation: each poll confirms
+        // the configuration and costs a call to the store.
+        const val POLLS_PER_KEY_WITHDRAWAL = 5
+        val MAX_FEED_WAIT = 1.seconds
+
+        // Leaves time for several polls that fail before API keys are refused.
+        const val MAX_AGES_PER_KEY_WITHDRAWAL = 2
+    }
+}
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/GatewayTest.kt
@@ -264,14 +264,16 @@
                         metrics: "127.0.0.1:${ports[2]}" },
               store: "${store.address}",
               bounds: { key-withdrawal-ms: 2500, stop-grace-s: 8, retry-ratio: 0.2, retry-window-s: 10,
-                        retry-allowance: 600, order-lease-ms: 3000, weights-deadline-ms: 8000, quota-overage: 0.1 } }
+                        retry-allowance: 600, order-lease-ms: 3000, weights-deadline-ms: 8000,
+                        endpoint-drain-ms: 2000, quota-overage: 0.1 } }
             """.trimIndent(),
         ).fold({ error(it.joinToString()) }, { it })
         GatewayDaemon(settings, callersSocket).start()
     }
 
     private fun sendAsPeer(message: String) = DatagramSocket().use {
-        it.send(DatagramPacket(message.toByteArray(), message.length, InetAddress.getByName("127.0.0.1"), ports[3]))
+        val bytes = PeerMessageCompressor().use { compressor -> compressor.compress(message.toByteArray()) }
+        it.send(DatagramPacket(bytes, bytes.size, InetAddress.getByName("127.0.0.1"), ports[3]))
     }
 
     private fun register() = endpoints.forEachIndexed { i, endpoint ->
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/OddPeerTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/OddPeerTest.kt
@@ -37,7 +37,8 @@
             peer.soTimeout = MAX_WAIT_MILLIS
             val packet = DatagramPacket(ByteArray(MAX_MESSAGE_BYTES), MAX_MESSAGE_BYTES)
             peer.receive(packet)
-            assertContains(String(packet.data, 0, packet.length), "\"name\":\"g\"")
+            val message = PeerMessageCompressor().use { it.decompress(packet.data, packet.length) }
+            assertContains(String(message), "\"name\":\"g\"")
         }
     }
 
@@ -48,7 +49,8 @@
         val membership = Membership(testSettings(), table, timeSource, log)
         val state = FleetState(testSettings(), timeSource, { membership.gatewayCount }, { membership.quotaShare })
         val timing = ExchangeTiming { membership.gatewayCount }
-        val receiver = PeerStateReceiver(state, membership, timing, log, { _, _ -> }) { timeSource.markNow() }
+        val receiver =
+            PeerStateReceiver(state, membership, timing, log, object : PeerEvents {}) { timeSource.markNow() }
         oddMessages().forEach { text ->
             val bytes = text.toByteArray()
             val message = try {
@@ -67,7 +69,7 @@
         )
         val fields = listOf(
             "number", "partial", "heard", "configuration", "confirmed", "quotas", "work", "versions", "changing",
-            "ejected", "placed", "lease", "weight-ages", "caches", "suspects",
+            "ejected", "placed", "lease", "weight-ages", "caches", "suspects", "leaving",
         )
         val nestedValues = values + values.flatMap { v ->
             val array = List(6) { v }.joinToString(",", "[", "]")
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/OddRegistryEntryTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/OddRegistryEntryTest.kt
@@ -15,7 +15,8 @@
     private val store = StoreStandIn()
     private val log = EventLog("test", PrintStream(OutputStream.nullOutputStream()))
     private val state = FleetState(testSettings(), SuspendAwareTimeSource(), { 1 }, { 1.0 })
-    private val sync = StoreSync(state, PlatformTable(PlatformCalls(OkHttpClient()), store.address), log) {}
+    private val table = PlatformTable(PlatformCalls(OkHttpClient()), store.address)
+    private val sync = StoreSync(state, table, log, object : StoreEvents {})
 
     @AfterEach
     fun close() {
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/PeerStateReceiverTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/PeerStateReceiverTest.kt
@@ -29,8 +29,9 @@
         private val membership =
             Membership(settings, PlatformTable(PlatformCalls(OkHttpClient()), "127.0.0.1:1"), clock, log)
         val state = FleetState(settings, clock, { membership.gatewayCount }, { membership.quotaShare })
+        private val timing = ExchangeTiming { membership.gatewayCount }
         private val receiver =
-            PeerStateReceiver(state, membership, ExchangeTiming { membership.gatewayCount }, log, { _, _ -> }) { null }
+            PeerStateReceiver(state, membership, timing, log, object : PeerEvents {}) { null }
 
         init {
             state.directory.update(List(endpoints) { endpoint("i-$it") })
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/StoreSyncTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/StoreSyncTest.kt
@@ -22,7 +22,8 @@
     private val log = EventLog("test", PrintStream(OutputStream.nullOutputStream()))
     private val settings = testSettings().let { it.copy(bounds = it.bounds.copy(keyWithdrawal = 5.seconds)) }
     private val state = FleetState(settings, SuspendAwareTimeSource(), { 1 }, { 1.0 })
-    private val sync = StoreSync(state, PlatformTable(PlatformCalls(OkHttpClient()), store.address), log) {}
+    private val table = PlatformTable(PlatformCalls(OkHttpClient()), store.address)
+    private val sync = StoreSync(state, table, log, object : StoreEvents {})
 
     @AfterEach
     fun close() {
@@ -129,6 +130,33 @@
         assertEquals(2, store.transfers.getValue("version/odd").get(), "transfers of the row")
     }
 
+    /** Pattern: many gateways whose calls to the store would all ask the same. */
+    @Test
+    fun `a gateway that does not watch the store polls it only for news of a peer or an old confirmation`() {
+        val follower = StoreSync(state, table, log, Follower)
+        follower.use {
+            putConfiguration(version = 1, routes = 3)
+            it.start()
+            await { version() == 1L }
+            val callsBefore = store.feedCalls.get()
+            val confirmedUntil = TimeSource.Monotonic.markNow() + 4.seconds
+            await {
+                state.confirmation.confirm(state.timeSource.markNow())
+                confirmedUntil.hasPassedNow()
+            }
+            assertEquals(callsBefore, store.feedCalls.get())
+            putConfiguration(version = 2, routes = 3)
+            it.readSoon()
+            await { version() == 2L }
+            putConfiguration(version = 3, routes = 3)
+            await { version() == 3L }
+        }
+    }
+
+    private object Follower : StoreEvents {
+        override fun isWatcher(): Boolean = false
+    }
+
     private fun version() = state.activeConfiguration?.configuration?.version
 
     private fun putConfiguration(version: Int, routes: Int) {
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/TestFleet.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/TestFleet.kt
@@ -45,7 +45,8 @@
     /** Sends [message] to the gateway as another gateway would. */
     fun sendAsPeer(message: String) = DatagramSocket().use {
         val address = InetAddress.getByName("127.0.0.1")
-        it.send(DatagramPacket(message.toByteArray(), message.length, address, gateway.peerPort))
+        val bytes = PeerMessageCompressor().use { compressor -> compressor.compress(message.toByteArray()) }
+        it.send(DatagramPacket(bytes, bytes.size, address, gateway.peerPort))
     }
 
     override fun close() {
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/TestGateway.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/TestGateway.kt
@@ -16,7 +16,8 @@
       listen: { callers: "127.0.0.1:1", readiness: "127.0.0.1:2", metrics: "127.0.0.1:3" },
       store: "127.0.0.1:1",
       bounds: { key-withdrawal-ms: 2500, stop-grace-s: 8, retry-ratio: 0.2, retry-window-s: 10,
-                retry-allowance: 600, order-lease-ms: 3000, weights-deadline-ms: 8000, quota-overage: 0.1 } }
+                retry-allowance: 600, order-lease-ms: 3000, weights-deadline-ms: 8000,
+                endpoint-drain-ms: 2000, quota-overage: 0.1 } }
     """.trimIndent(),
 ).fold({ error(it.joinToString()) }, { it })
 
