Confirm the configuration of followers in time by shorter polls of the watchers

Cause: a confirmation counts from a second before its poll was sent, so that those of watchers were 2.0 to 3.1 s old and the followers' beyond 2.5 s: each polled 0.6 times a second all the same. Change: watchers wait half a second for a change if others depend on them; followers poll beyond 70 % of the withdrawal time. This change itself is not measured yet.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
@@ -143,6 +143,8 @@
         // The holder of the lease may order weights only while it reads the store itself.
         override fun isWatcher(): Boolean = lease.isHeld || storeWatch.isWatcher
 
+        override fun hasFollowers(): Boolean = storeWatch.isShared
+
         override fun onChange() = peers.sendSoon(isComplete = true)
 
         override fun onNewWeights() = weightRollout.runSoon()
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/StorePollSchedule.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/StorePollSchedule.kt
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -16,13 +17,16 @@
 
     /** Longest wait of a poll for a change. */
     val feedWait: Duration
-        get() =
-            if (events.isWatcher()) minOf(MAX_FEED_WAIT, keyWithdrawal / POLLS_PER_KEY_WITHDRAWAL) else Duration.ZERO
+        get() = when {
+            !events.isWatcher() -> Duration.ZERO
+            events.hasFollowers() -> MAX_SHARED_FEED_WAIT
+            else -> minOf(MAX_FEED_WAIT, keyWithdrawal / POLLS_PER_KEY_WITHDRAWAL)
+        }
 
     /** True if this gateway should poll now. */
     val isPollDue: Boolean
         get() = events.isWatcher() || isPollRequested.get() ||
-            !state.confirmation.isWithin(keyWithdrawal / MAX_AGES_PER_KEY_WITHDRAWAL)
+            !state.confirmation.isWithin(keyWithdrawal * MAX_CONFIRMATION_AGE_SHARE)
 
     /** Requests a poll, and returns true if none was requested since the last one. */
     fun requestPoll(): Boolean = !isPollRequested.getAndSet(true)
@@ -36,7 +40,10 @@
         const val POLLS_PER_KEY_WITHDRAWAL = 5
         val MAX_FEED_WAIT = 1.seconds
 
-        // Leaves time for several polls that fail before API keys are refused.
-        const val MAX_AGES_PER_KEY_WITHDRAWAL = 2
+        // A confirmation counts from before the poll that brought it, and reaches the followers some time later.
+        val MAX_SHARED_FEED_WAIT = 500.milliseconds
+
+        // Leaves time for own polls before API keys are refused.
+        const val MAX_CONFIRMATION_AGE_SHARE = 0.7
     }
 }
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/StoreSync.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/StoreSync.kt
@@ -8,6 +8,9 @@
     /** Returns true if this gateway watches the store for the others. */
     fun isWatcher(): Boolean = true
 
+    /** Returns true if other gateways depend on what this one reads as a watcher. */
+    fun hasFollowers(): Boolean = false
+
     /** A newer configuration or newer weights were read. */
     fun onChange() = Unit
 
--- a/library/src/main/kotlin/org/celerywalk/instance/StoreWatch.kt
+++ b/library/src/main/kotlin/org/celerywalk/instance/StoreWatch.kt
@@ -12,6 +12,9 @@
  * @param peers returns the names of the other instances that this instance hears from.
  */
 public class StoreWatch(private val instance: String, private val peers: () -> Set<String>) {
+    /** True if some instances watch the store for the others. */
+    public val isShared: Boolean get() = peers().size >= MIN_PEERS
+
     /** True if this instance is to watch the store. */
     public val isWatcher: Boolean
         get() {
