Tell stalled streams by their events, and slow ones by their route's targets

Cause: a resumable stream was given up after 2.8 s without a byte. One that sent a comment or part of an event now and then never was, until the route's timeout; one whose route allows slower answers was cut and sent again while it was on time. This is the users' report 'slow but sound streams were cut, and stalled ones that sent a byte now and then never ended'.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointSender.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointSender.kt
@@ -44,7 +44,7 @@
     ): AttemptOutcome {
         val headers = ForwardedHeaders.encode(exchange.headers, forwarded)
         val request = EndpointRequest(exchange.method, exchange.target, headers, body)
-        val readTimeout = STREAM_READ_TIMEOUT.takeIf { route.kind == RequestKind.STREAMING && route.isRetryable }
+        val readTimeout = route.stallTimeout.takeIf { route.kind == RequestKind.STREAMING && route.isRetryable }
         val call = context.client.prepare(endpoint.address, request, readTimeout)
             ?: return AttemptOutcome.Rejected("path_not_canonical", Duration.ZERO)
         limits.total?.let { call.timeout().timeout(it.inWholeMilliseconds.coerceAtLeast(1), TimeUnit.MILLISECONDS) }
@@ -230,8 +230,5 @@
         val MIN_GENERATION_OBSERVATION_TIME = 2.seconds
         val MIN_SERVICE_OBSERVATION_TIME = 200.milliseconds
         const val SERVICE_TIME_FACTOR = 8
-
-        // Callers abort a stream after a gap of two seconds or more. A full replica may pause for nearly that long.
-        val STREAM_READ_TIMEOUT = 2.8.seconds
     }
 }
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/ResponseRelay.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/ResponseRelay.kt
@@ -7,6 +7,7 @@
 import org.celerywalk.route.Route
 import org.celerywalk.stream.ServerSentEventSplitter
 import java.io.IOException
+import kotlin.time.Duration
 
 /** Response of an endpoint whose body has been read completely. */
 internal class BufferedResponse(val status: Int, val fields: List<Pair<String, String>>, val body: ByteArray)
@@ -78,6 +79,8 @@
         val source = response.body.source()
         val buffer = ByteArray(BUFFER_BYTES)
         var hasEvents = false
+        var lastEventAt = exchange.elapsed()
+        var isStalled = false
         boundaries.discardPartialEvent()
         do {
             val count = try {
@@ -86,12 +89,18 @@
                 return AttemptOutcome.ResponseLost("stream: ${e.message}")
             }
             if (count > 0) {
-                hasEvents = relayChunk(response, buffer, count) || hasEvents
-                hasAnswerBegun = hasAnswerBegun || hasEvents
+                if (relayChunk(response, buffer, count)) {
+                    hasEvents = true
+                    hasAnswerBegun = true
+                    lastEventAt = exchange.elapsed()
+                } else {
+                    isStalled = isStalledSince(lastEventAt)
+                }
                 onBodyRead()
             }
-        } while (count >= 0 && boundaries.partialEventBytes <= MAX_EVENT_BYTES)
+        } while (count >= 0 && !isStalled && boundaries.partialEventBytes <= MAX_EVENT_BYTES)
         return when {
+            isStalled -> AttemptOutcome.ResponseLost("stream: no event for ${route.stallTimeout}")
             boundaries.partialEventBytes > MAX_EVENT_BYTES ->
                 AttemptOutcome.ResponseLost("stream: an event has more than $MAX_EVENT_BYTES bytes")
             !boundaries.endsAtEventBoundary -> AttemptOutcome.ResponseLost("stream ends within an event")
@@ -101,6 +110,10 @@
         }
     }
 
+    // Bytes that complete no event don't count. Only a resumable stream can go on at another endpoint.
+    private fun isStalledSince(lastEventAt: Duration): Boolean =
+        route.isResumable && exchange.elapsed() - lastEventAt > route.stallTimeout
+
     private fun completeStream(response: Response): AttemptOutcome {
         startIfNeeded(response)
         exchange.response.complete()
@@ -113,7 +126,7 @@
     }
 
     // A resumable stream is relayed in whole events, so that another endpoint can continue it after the last one.
-    // Returns true if the bytes complete an event.
+    // Returns true if the bytes complete an event; a comment is none.
     private fun relayChunk(response: Response, buffer: ByteArray, count: Int): Boolean {
         val completeEvents = boundaries.add(String(buffer, 0, count, Charsets.ISO_8859_1))
         if (!route.isResumable) {
@@ -123,13 +136,14 @@
             startIfNeeded(response)
             exchange.response.write(completeEvents.toByteArray(Charsets.ISO_8859_1))
         }
-        return completeEvents.isNotEmpty()
+        return completeEvents.lineSequence().any { it.startsWith(DATA_FIELD) }
     }
 
     private companion object {
         const val OK = 200
         const val MIN_SERVER_ERROR_STATUS = 500
         const val BUFFER_BYTES = 8 * 1024
+        const val DATA_FIELD = "data"
         const val MAX_EVENT_BYTES = 256 * 1024
     }
 }
--- a/library/src/test/kotlin/org/celerywalk/route/RouteTableTest.kt
+++ b/library/src/test/kotlin/org/celerywalk/route/RouteTableTest.kt
@@ -65,6 +65,7 @@
         targets = listOf(RouteTarget("service", 1)),
         timeout = 1.seconds,
         latencyTarget = 1.seconds,
+        gapTarget = 1.seconds,
         priority = 0,
         maxAttempts = 2,
         allowsAnonymous = false,
