--- a/gateway/src/test/kotlin/org/celerywalk/gateway/PlannedStopTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/PlannedStopTest.kt
@@ -1,5 +1,6 @@
 package org.celerywalk.gateway
 
+import okhttp3.Request
 import org.junit.jupiter.api.AfterEach
 import java.net.Socket
 import java.util.concurrent.CompletableFuture
@@ -46,7 +47,22 @@
         assertEquals(0, endpoint.receivedRequests.size)
     }
 
-    private fun callOnce(): CompletableFuture<Int> = CompletableFuture.supplyAsync {
-        fleet.gateway.client.newCall(fleet.request("once").build()).execute().use { it.code }
+    @Test
+    fun `a stream that can't be completed within the grace period is refused before it is passed on`() {
+        val endpoint = fleet.add(script = EndpointStandIn.stream("id: 1\ndata: a\n\n", isComplete = true))
+        fleet.start(TestFleet.route("stream", "streaming"))
+        val long = fleet.request("stream").header("X-Model", "m").header("X-Token-Usage", "20,5000").build()
+        assertEquals(200, status(long))
+        val stop = CompletableFuture.runAsync { fleet.gateway.stop() }
+        awaitUntil { !fleet.gateway.isReady() }
+        assertEquals(503, status(long))
+        assertEquals(200, status(fleet.request("stream").build()))
+        stop.get(10, TimeUnit.SECONDS)
+        assertEquals(2, endpoint.receivedRequests.size)
     }
+
+    private fun callOnce(): CompletableFuture<Int> =
+        CompletableFuture.supplyAsync { status(fleet.request("once").build()) }
+
+    private fun status(request: Request): Int = fleet.gateway.client.newCall(request).execute().use { it.code }
 }
