Answer what is open when an entry stops

Cause: at the stop timeout the entry closed its server under open requests; callers got no response. A request whose head was admitted before the refusing phase was passed on when its body arrived later, and kept connections stayed open until then.

Change: `Exchange` sends one response at most and knows whether the request was passed on. At the stop timeout requests that were passed on get 502 `stopping` (unknown), others 503 `stopping` (not_run); streams that have begun end with an error event and are cut. The phase is checked again after the body.

Measured: the five tests of the entry's `PlannedStopTest` failed on, each for its own reason, and pass now with all other tests of the entry. Agents are unchanged: streams that their stop cuts go on at another replica.

--- a/entry/src/main/kotlin/org/celerywalk/entry/EntryComponents.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/EntryComponents.kt
@@ -64,7 +64,7 @@
     )
     private val accessControl = AccessControl(authenticator, lifecycle::isAcceptingRequests)
     private val bodyReader = BodyReader(settings.limits.maxRequestBytes, MemoryBudget(MAX_BODY_MEMORY_BYTES))
-    private val routeRunner = RouteRunner(bodyReader, metrics::recordRefusal)
+    private val routeRunner = RouteRunner(bodyReader, lifecycle, metrics::recordRefusal)
     private val lostBookingResolver = LostBookingResolver(AttemptBarWriter(dependencies.table, dependencies.wallClock))
     private val serviceClient =
         AgentServiceClient(endpoints, lostBookingResolver, dependencies.timeSource, dependencies.wallClock)
@@ -116,6 +116,9 @@
         }.onFailure { Logger.error(it, "event=tick_failed") }
     }
 
+    /** Answers all open requests, as far as their responses have not begun, because the process stops. */
+    fun stopOpenRequests() = routeRunner.stopOpenRequests()
+
     fun close() {
         httpServer.stop()
         endpoints.close()
--- a/entry/src/main/kotlin/org/celerywalk/entry/EntryDaemon.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/EntryDaemon.kt
@@ -9,6 +9,7 @@
 import java.util.concurrent.ExecutorService
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -62,7 +63,8 @@
      * Drains and stops the process; blocks until it has stopped.
      *
      * The process first reports not ready for the leave delay and still serves new requests. Then it refuses new
-     * requests and waits for open ones until the stop timeout.
+     * requests and waits for open ones until the stop timeout. Those that are still open then are answered with the
+     * problem `stopping`.
      */
     public fun stop() {
         val runningComponents = components ?: return
@@ -70,13 +72,20 @@
         Logger.info("event=leaving instance={} open_requests={}", process.instance, runningComponents.openRequestCount)
         TimeUnit.MILLISECONDS.sleep(process.leaveDelay.inWholeMilliseconds)
         lifecycle.startRefusing()
+        runningComponents.awaitEndOfRequests(process.stopTimeout)
+        val unansweredCount = runningComponents.openRequestCount
+        runningComponents.stopOpenRequests()
+        runningComponents.awaitEndOfRequests(LAST_WRITE_TIMEOUT)
+        Logger.info("event=stopped instance={} open_requests={}", process.instance, unansweredCount)
+        closeResources()
+    }
+
+    private fun EntryComponents.awaitEndOfRequests(timeout: Duration) {
         var elapsed = 0.milliseconds
-        while (runningComponents.openRequestCount > 0 && elapsed < process.stopTimeout) {
+        while (openRequestCount > 0 && elapsed < timeout) {
             TimeUnit.MILLISECONDS.sleep(STOP_POLL_INTERVAL.inWholeMilliseconds)
             elapsed += STOP_POLL_INTERVAL
         }
-        Logger.info("event=stopped instance={} open_requests={}", process.instance, runningComponents.openRequestCount)
-        closeResources()
     }
 
     private fun startComponents() {
@@ -109,5 +118,8 @@
         const val CALL_THREADS = 4
         val TICK_INTERVAL = 100.milliseconds
         val STOP_POLL_INTERVAL = 50.milliseconds
+
+        // Time in which callers can take the last bytes of responses that a stop ends.
+        val LAST_WRITE_TIMEOUT = 500.milliseconds
     }
 }
--- a/entry/src/main/kotlin/org/celerywalk/entry/chat/AnswerWriter.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/chat/AnswerWriter.kt
@@ -19,6 +19,9 @@
     /** Ends an incomplete answer so that no client takes it for a complete one. */
     fun fail(problem: Problem)
 
+    /** Reports [problem] on an answer that the end of the connection cuts, so that it is not framed as complete. */
+    fun breakOff(problem: Problem)
+
     /** Writes data that clients ignore, if the format allows it, so that a disconnected caller is detected. */
     fun keepAlive()
 }
@@ -53,6 +56,9 @@
         response.sendProblem(problem)
     }
 
+    override fun breakOff(problem: Problem) =
+        if (isOpened) writeEvent(problem.toJson()) else response.sendProblem(problem)
+
     override fun keepAlive() {
         if (isOpened) response.write(KEEP_ALIVE_COMMENT)
     }
@@ -81,5 +87,7 @@
 
     override fun fail(problem: Problem) = response.sendProblem(problem)
 
+    override fun breakOff(problem: Problem) = response.sendProblem(problem)
+
     override fun keepAlive() = Unit
 }
--- a/entry/src/main/kotlin/org/celerywalk/entry/chat/ChatRoute.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/chat/ChatRoute.kt
@@ -93,7 +93,7 @@
             reservation,
             relayManager.newDeadlineMillis(),
         ),
-        exchange.response,
+        exchange,
     )
 }
 
--- a/entry/src/main/kotlin/org/celerywalk/entry/chat/Relay.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/chat/Relay.kt
@@ -4,8 +4,8 @@
 import org.celerywalk.entry.agents.toStreamEvent
 import org.celerywalk.entry.agents.toSummary
 import org.celerywalk.entry.http.CallerResponse
+import org.celerywalk.entry.http.Problem
 import org.celerywalk.error.Execution
-import org.celerywalk.key.KeyProblem
 import org.celerywalk.protocol.GenerateEvent
 import org.celerywalk.stream.AnswerStream
 import org.celerywalk.stream.StreamEvent
@@ -63,14 +63,21 @@
         end(RelayEnd.DISCONNECTED, Execution.RAN)
     }
 
-    /** Ends the answer because the caller's key is no longer accepted. */
+    /**
+     * Ends the answer early with [problem]: at once if the caller's key is no longer accepted ([RelayEnd.CUT]), and
+     * after the tokens that were received if the process stops ([RelayEnd.STOPPED]).
+     */
     @Synchronized
-    fun cut(problem: KeyProblem) {
+    fun endEarly(relayEnd: RelayEnd, problem: Problem) {
         if (hasEnded) return
         stream.end()
-        response.discardPending()
-        writer.fail(streamCutProblem(problem))
-        end(RelayEnd.CUT, Execution.UNKNOWN)
+        if (relayEnd == RelayEnd.CUT) {
+            response.discardPending()
+            writer.fail(problem)
+        } else {
+            writer.breakOff(problem)
+        }
+        end(relayEnd, Execution.UNKNOWN)
     }
 
     /** Checks the time limits and writes keep-alives; called several times a second. */
--- a/entry/src/main/kotlin/org/celerywalk/entry/chat/RelayManager.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/chat/RelayManager.kt
@@ -1,6 +1,8 @@
 package org.celerywalk.entry.chat
 
-import org.celerywalk.entry.http.CallerResponse
+import org.celerywalk.entry.http.Exchange
+import org.celerywalk.entry.http.stoppingProblem
+import org.celerywalk.error.Execution
 import org.celerywalk.key.OpenStreams
 import java.util.concurrent.ConcurrentHashMap
 
@@ -17,7 +19,8 @@
     /** Returns the time by which a request that arrives now must end, in milliseconds since the epoch. */
     fun newDeadlineMillis(): Long = context.wallClock() + context.limits.requestTimeout.inWholeMilliseconds
 
-    fun start(generation: Generation, response: CallerResponse) {
+    fun start(generation: Generation, exchange: Exchange) {
+        val response = exchange.response
         val createdSeconds = context.wallClock() / MILLIS_PER_SECOND
         val json = ChatCompletionJson(generation.requestId, generation.model.name, createdSeconds)
         val writer = if (generation.request.isStreaming) {
@@ -26,8 +29,15 @@
             JsonAnswerWriter(response, json)
         }
         val relay = Relay(generation, writer, response, context)
+        val stop = { relay.endEarly(RelayEnd.STOPPED, stoppingProblem(Execution.UNKNOWN)) }
+        if (!exchange.passOn(stop)) {
+            generation.reservation.settle(0)
+            return
+        }
         runningRelays += relay
-        val registration = openStreams.register(generation.caller, relay::cut)
+        val registration = openStreams.register(generation.caller) {
+            relay.endEarly(RelayEnd.CUT, streamCutProblem(it))
+        }
         response.onDrained = relay::onResponseDrained
         response.onDisconnect = relay::onCallerDisconnected
         response.completion.whenComplete { _, _ ->
--- a/entry/src/main/kotlin/org/celerywalk/entry/chat/RelayObserver.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/chat/RelayObserver.kt
@@ -16,4 +16,4 @@
 }
 
 /** Outcome of a relay. */
-internal enum class RelayEnd { COMPLETE, FAILED, DISCONNECTED, CUT }
+internal enum class RelayEnd { COMPLETE, FAILED, DISCONNECTED, CUT, STOPPED }
--- a/entry/src/main/kotlin/org/celerywalk/entry/http/AccessControl.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/http/AccessControl.kt
@@ -4,6 +4,7 @@
 import arrow.core.flatMap
 import arrow.core.left
 import arrow.core.right
+import org.celerywalk.error.Execution
 import org.celerywalk.key.AuthenticatedCaller
 import org.celerywalk.key.KeyError
 import org.celerywalk.key.KeyProblem
@@ -19,7 +20,7 @@
     fun checkAccepting(): Either<Problem, Unit> = if (isAcceptingRequests()) {
         Unit.right()
     } else {
-        unavailable("stopping", "this instance is stopping", 1.seconds).left()
+        stoppingProblem(Execution.NOT_RUN).left()
     }
 
     /** Authenticates a request by its key. */
--- a/entry/src/main/kotlin/org/celerywalk/entry/service/ServiceRoute.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/service/ServiceRoute.kt
@@ -18,7 +18,9 @@
 import org.celerywalk.entry.http.Route
 import org.celerywalk.entry.http.invalidRequest
 import org.celerywalk.entry.http.sendComplete
+import org.celerywalk.entry.http.stoppingProblem
 import org.celerywalk.entry.http.toProblem
+import org.celerywalk.error.Execution
 import org.celerywalk.key.CallerKey
 import org.celerywalk.key.FORWARDED_HEADERS
 import org.celerywalk.key.KeyError
@@ -48,6 +50,7 @@
     override fun handle(exchange: Exchange, body: ByteArray) {
         val admitted = exchange.admittedRequest as AdmittedServiceRequest
         buildCall(exchange.request, admitted, body).fold(exchange::refuse) { call ->
+            if (!exchange.passOn { exchange.refuse(stoppingProblem(Execution.UNKNOWN)) }) return
             serviceClient.execute(call)
                 .thenAccept { outcome -> outcome.fold(exchange::refuse) { writeAnswer(exchange, it) } }
                 .exceptionally { failure -> exchange.fail(failure) }
@@ -108,7 +111,7 @@
     }
 
     private fun writeAnswer(exchange: Exchange, answer: ServiceAnswer) =
-        exchange.response.sendComplete(answer.status, answer.headers, answer.body)
+        exchange.answer { it.sendComplete(answer.status, answer.headers, answer.body) }
 
     private companion object {
         const val IDEMPOTENCY_KEY_HEADER = "idempotency-key"
--- a/entry/src/test/kotlin/org/celerywalk/entry/EntryFixture.kt
+++ b/entry/src/test/kotlin/org/celerywalk/entry/EntryFixture.kt
@@ -128,6 +128,13 @@
             "Content-Length: ${it.length}\r\n\r\n$it"
     }
 
+    /** Waits until the entry has received the heads of [count] requests that have no complete response. */
+    fun awaitOpenRequests(count: Int) = await {
+        get("/metrics").use { response ->
+            response.body.string().lines().any { it.startsWith("celerywalk_open_requests $count.0") }
+        }
+    }
+
     fun await(condition: () -> Boolean) {
         val deadlineNanos = System.nanoTime() + 5_000_000_000
         while (!condition()) {
--- a/entry/src/test/kotlin/org/celerywalk/entry/RawCaller.kt
+++ b/entry/src/test/kotlin/org/celerywalk/entry/RawCaller.kt
@@ -60,6 +60,16 @@
             ).toByteArray(),
     )
 
+    /** Sends the head of a request with a body of [length] bytes, without the body. */
+    fun postHead(path: String, length: Int, protocol: String) = send(
+        "POST $path $protocol\r\nx-api-key: ${EntryFixture.KEY}\r\nIdempotency-Key: b-1\r\n" +
+            "Content-Length: $length\r\n\r\n",
+    )
+
+    fun send(text: String) = socket.getOutputStream().write(text.toByteArray())
+
+    fun skipAvailable() = socket.getInputStream().skipNBytes(availableBytes.toLong())
+
     fun get(path: String, protocol: String) =
         socket.getOutputStream().write("GET $path $protocol\r\n\r\n".toByteArray())
 
