--- a/agent/src/main/kotlin/org/celerywalk/agent/AgentAssembly.kt
+++ b/agent/src/main/kotlin/org/celerywalk/agent/AgentAssembly.kt
@@ -70,6 +70,8 @@
 
             override fun start() = sync.start()
 
+            override fun announceStop() = sync.synchroniser.announceStop()
+
             override fun close() {
                 val clients = listOf(sync, table, objectStore, instances) + engines.values + services.values
                 clients.forEach { it.close() }
--- a/agent/src/main/kotlin/org/celerywalk/agent/AgentDaemon.kt
+++ b/agent/src/main/kotlin/org/celerywalk/agent/AgentDaemon.kt
@@ -94,12 +94,16 @@
     }
 
     /**
-     * Refuses new work as not run, waits for running calls up to the stop timeout of the settings, and shuts down.
+     * Tells the other processes, refuses new work as not run, waits for running calls up to the stop timeout of the
+     * settings, and shuts down.
      *
-     * The server stays open while it waits, so that entries receive refusals instead of connection errors.
+     * The server stays open while it waits, so that entries receive refusals instead of connection errors. Further
+     * calls have no effect.
      */
     public fun stop() {
+        if (isStopping) return
         isStopping = true
+        dependencies.peers?.announceStop()
         val idleLatch = CountDownLatch(1)
         scheduleEvery(IDLE_CHECK_INTERVAL) {
             if (generationHandler.activeCount + serviceCallHandler.activeCount == 0) idleLatch.countDown()
@@ -132,6 +136,7 @@
         .setProtocolVersion(PROTOCOL_VERSION)
         .setReceiver(identity.toMessage())
         .addAllReplicas(replicas.values.map { it.summary(!isRejectingWork()) })
+        .setStopping(isStopping)
         .build()
 
     private fun buildServer(): Server {
@@ -140,7 +145,8 @@
         val builder = NettyServerBuilder.forAddress(InetSocketAddress(host, port))
             .maxInboundMessageSize(MAX_MESSAGE_BYTES)
             .executor(callExecutor)
-        val agentService = AgentGrpcService(generationHandler, serviceCallHandler, ::buildHelloReply).definition()
+        val agentService =
+            AgentGrpcService(generationHandler, serviceCallHandler, ::buildHelloReply, ::isStopping).definition()
         listOfNotNull(agentService, dependencies.peers?.service).forEach {
             builder.addService(ServerInterceptors.intercept(it, SharedSecretServer(settings.process.secret)))
         }
--- a/agent/src/main/kotlin/org/celerywalk/agent/AgentDependencies.kt
+++ b/agent/src/main/kotlin/org/celerywalk/agent/AgentDependencies.kt
@@ -35,4 +35,7 @@
 
     /** Starts the synchronisation; called once the agent's address is valid. */
     public fun start()
+
+    /** Tells the other processes that the agent stops. */
+    public fun announceStop()
 }
--- a/agent/src/main/kotlin/org/celerywalk/agent/AgentGrpcService.kt
+++ b/agent/src/main/kotlin/org/celerywalk/agent/AgentGrpcService.kt
@@ -15,13 +15,16 @@
     private val generationHandler: GenerationHandler,
     private val serviceCallHandler: ServiceCallHandler,
     private val buildHelloReply: () -> HelloReply,
+    private val isStopping: () -> Boolean,
 ) {
     fun definition(): ServerServiceDefinition = ServerServiceDefinition.builder(AgentMethods.SERVICE)
         .addMethod(AgentMethods.HELLO, ServerCalls.asyncUnaryCall(::hello))
         .addMethod(
             AgentMethods.GENERATE,
             ServerCalls.asyncServerStreamingCall { request, observer ->
-                generationHandler.generate(request, observer as ServerCallStreamObserver)
+                val callObserver = observer as ServerCallStreamObserver
+                val sink = EventSink(request.attemptId, callObserver, isStopping)
+                generationHandler.generate(request, callObserver, sink)
             },
         )
         .addMethod(
@@ -29,7 +32,9 @@
             ServerCalls.asyncUnaryCall { request, observer ->
                 // A started booking continues after a cancel, so that its outcome is recorded; its reply is dropped.
                 (observer as ServerCallStreamObserver).setOnCancelHandler { }
-                serviceCallHandler.call(request).thenAccept { observer.sendReply(it) }
+                serviceCallHandler.call(request).thenAccept {
+                    observer.sendReply(it.toBuilder().setAgentStopping(isStopping()).build())
+                }
             },
         )
         .addMethod(
--- a/agent/src/main/kotlin/org/celerywalk/agent/EventSink.kt
+++ b/agent/src/main/kotlin/org/celerywalk/agent/EventSink.kt
@@ -13,6 +13,7 @@
 internal class EventSink(
     private val attemptId: String,
     private val observer: ServerCallStreamObserver<GenerateEvent>,
+    private val isStopping: () -> Boolean,
 ) {
     private val pendingText = StringBuilder()
     private var pendingOffset = 0
@@ -27,7 +28,7 @@
     /** Sends the event that precedes all tokens. */
     @Synchronized
     fun sendStarted(event: GenerateEvent.Builder) {
-        if (!isClosed) observer.onNext(event.setAttemptId(attemptId).build())
+        if (!isClosed) send(event)
     }
 
     /** Sends tokens or buffers them until the call is ready; returns false if the buffer exceeds its limit. */
@@ -59,17 +60,20 @@
         if (pendingTokenCount > 0) {
             val tokens = GenerateTokens.newBuilder()
                 .setOffset(pendingOffset).setCount(pendingTokenCount).setText(pendingText.toString())
-            observer.onNext(GenerateEvent.newBuilder().setAttemptId(attemptId).setTokens(tokens).build())
+            send(GenerateEvent.newBuilder().setTokens(tokens))
             pendingText.setLength(0)
             pendingTokenCount = 0
         }
         lastEvent?.let {
             isClosed = true
-            observer.onNext(it.setAttemptId(attemptId).build())
+            send(it)
             observer.onCompleted()
         }
     }
 
+    private fun send(event: GenerateEvent.Builder) =
+        observer.onNext(event.setAttemptId(attemptId).setAgentStopping(isStopping()).build())
+
     private companion object {
         // A few times the usual maximum answer length; many streams of this size fit in the agent's 128 MB of memory.
         const val MAX_PENDING_CHARS = 256 * 1024
--- a/agent/src/main/kotlin/org/celerywalk/agent/GenerationHandler.kt
+++ b/agent/src/main/kotlin/org/celerywalk/agent/GenerationHandler.kt
@@ -21,8 +21,7 @@
     val activeCount: Int
         get() = activeGenerations.size
 
-    fun generate(request: GenerateRequest, observer: ServerCallStreamObserver<GenerateEvent>) {
-        val sink = EventSink(request.attemptId, observer)
+    fun generate(request: GenerateRequest, observer: ServerCallStreamObserver<GenerateEvent>, sink: EventSink) {
         val replica = replicas[request.replica]
         if (replica == null) {
             // Without a cancel handler, gRPC throws when a cancelled call is written to.
--- a/agent/src/test/kotlin/org/celerywalk/agent/AgentDaemonTest.kt
+++ b/agent/src/test/kotlin/org/celerywalk/agent/AgentDaemonTest.kt
@@ -2,6 +2,7 @@
 
 import io.grpc.CallOptions
 import io.grpc.Context
+import io.grpc.ServerServiceDefinition
 import io.grpc.stub.ClientCalls
 import org.celerywalk.booking.BookingAnswer
 import org.celerywalk.booking.CallResult
@@ -16,6 +17,7 @@
 import org.celerywalk.protocol.Execution
 import org.celerywalk.protocol.GenerateEvent
 import org.celerywalk.protocol.GenerateRequest
+import org.celerywalk.protocol.HelloReply
 import org.celerywalk.protocol.HelloRequest
 import org.celerywalk.protocol.ServiceRequest
 import org.celerywalk.rpc.AgentMethods
@@ -30,6 +32,7 @@
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -41,6 +44,18 @@
     private val closeActions = mutableListOf<() -> Unit>()
     private val serviceCallCount = AtomicInteger()
     private val configuration = MutableConfigurationSource()
+    private val announcedStops = AtomicInteger()
+    private val peers = object : PeerSyncService {
+        override val service = ServerServiceDefinition.builder("peer").build()
+
+        override fun start() = Unit
+
+        override fun announceStop() {
+            announcedStops.incrementAndGet()
+        }
+
+        override fun close() = Unit
+    }
 
     @AfterTest
     fun close() = closeActions.forEach { it() }
@@ -169,6 +184,30 @@
         assertTrue(events.next().hasFinished())
     }
 
+    @Test
+    fun `a stopping agent says so in every answer and to its peers, and finishes what runs`() {
+        lateinit var finishGeneration: () -> Unit
+        val engine = FakeEngine { request, listener ->
+            listener.onStarted("e1", request.weights, 2, 0)
+            finishGeneration = { listener.onFinished(request.resumeOffset, "stop") }
+        }
+        val agent = startAgent(engine)
+        val events = agent.generate(agent.generation())
+        assertEquals(false, events.next().agentStopping)
+        val stop = thread { agent.daemon.stop() }
+        while (!agent.hello().stopping) Thread.onSpinWait()
+
+        assertEquals(1, announcedStops.get())
+        val refusal = agent.generate(agent.generation().toBuilder().setAttemptId("a2").build()).next()
+        assertEquals("leaving" to true, refusal.refused.code to refusal.agentStopping)
+        val bookingReply = agent.call(agent.booking("a3"))
+        assertEquals(Execution.NOT_RUN to true, bookingReply.execution to bookingReply.agentStopping)
+        finishGeneration()
+        val lastEvent = events.next()
+        assertTrue(lastEvent.hasFinished() && lastEvent.agentStopping)
+        stop.join()
+    }
+
     private fun startAgent(engine: FakeEngine = FakeEngine(), table: Table = FakeTable()): RunningAgent {
         val process = ProcessSettings("i1", "kyushu", "fukuoka-a", "127.0.0.1:0", "127.0.0.1:0", "s", "p")
             .copy(stopTimeout = 1.seconds)
@@ -179,16 +218,14 @@
                 CallResult.Answered(BookingAnswer(200, emptyList(), "swapped".toByteArray())),
             )
         }
-        val dependencies = AgentDependencies(table, mapOf("r1" to engine), mapOf("swaps" to service), configuration)
+        val dependencies =
+            AgentDependencies(table, mapOf("r1" to engine), mapOf("swaps" to service), configuration, peers)
         val daemon = AgentDaemon(settings) { dependencies }
         daemon.start()
         val channel = openChannel(daemon.identity.address, "s")
         closeActions += { channel.shutdownNow() }
         closeActions += { daemon.stop() }
-        val request = HelloRequest.newBuilder().setProtocolVersion(PROTOCOL_VERSION).build()
-        val helloReply = ClientCalls.blockingUnaryCall(channel, AgentMethods.HELLO, CallOptions.DEFAULT, request)
-        assertEquals(daemon.incarnation, helloReply.receiver.incarnation)
-        return RunningAgent(daemon, channel)
+        return RunningAgent(daemon, channel).also { assertEquals(daemon.incarnation, it.hello().receiver.incarnation) }
     }
 }
 
@@ -197,6 +234,11 @@
         .setAttemptId("a1").setAgentIncarnation(daemon.incarnation).setClientAccount("kyushu")
         .setModel("m").setWeights("w1").setReplica("r1").setPrompt("bucket").setMaxTokens(3).build()
 
+    fun hello(): HelloReply {
+        val request = HelloRequest.newBuilder().setProtocolVersion(PROTOCOL_VERSION).build()
+        return ClientCalls.blockingUnaryCall(channel, AgentMethods.HELLO, CallOptions.DEFAULT, request)
+    }
+
     fun booking(attempt: String): ServiceRequest = ServiceRequest.newBuilder()
         .setAttemptId(attempt).setAgentIncarnation(daemon.incarnation).setClientAccount("kyushu").setService("swaps")
         .setIdempotencyKey("k1").setExpiresAtMillis(System.currentTimeMillis() + LIFETIME_MILLIS).build()
--- a/entry/src/main/kotlin/org/celerywalk/entry/EntryComponents.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/EntryComponents.kt
@@ -1,6 +1,7 @@
 package org.celerywalk.entry
 
 import org.celerywalk.booking.AttemptBarWriter
+import org.celerywalk.entry.agents.AgentNotices
 import org.celerywalk.entry.agents.EndpointRegistry
 import org.celerywalk.entry.agents.HelloPoller
 import org.celerywalk.entry.agents.toMessage
@@ -40,7 +41,9 @@
 ) : StatusPages {
     private val configuration = dependencies.configuration::current
     private val metrics = EntryMetrics()
-    private val endpoints = EndpointRegistry { address -> openChannel(address, settings.process.secret, callExecutor) }
+    private val endpoints = EndpointRegistry(AgentNotices(dependencies.endpointNotices)) { address ->
+        openChannel(address, settings.process.secret, callExecutor)
+    }
     private val helloPoller = HelloPoller(endpoints, identity, dependencies.timeSource)
     private val authenticator = RequestAuthenticator(
         KeyHasher(settings.process.pepper),
--- a/entry/src/main/kotlin/org/celerywalk/entry/EntryDependencies.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/EntryDependencies.kt
@@ -2,6 +2,7 @@
 
 import io.grpc.ServerServiceDefinition
 import org.celerywalk.account.Admission
+import org.celerywalk.endpoint.EndpointNotices
 import org.celerywalk.protocol.ReplicaSummary
 import org.celerywalk.routing.EndpointChooser
 import org.celerywalk.sync.ConfigurationSource
@@ -15,6 +16,7 @@
  * @property areKeysConfirmed returns whether this process may serve requests with keys now.
  * @property rateShare returns the part of all rates that this process may use now, 0 to 1.
  * @property wallClock returns milliseconds since the epoch.
+ * @property endpointNotices agents that have stated that they stop, shared with the exchange between processes.
  * @property buildServices builds the gRPC services for other processes and operators; `summaries` returns the last
  *   reported replica summaries of an endpoint.
  * @property onStart called when the process listens on its ports.
@@ -34,4 +36,5 @@
     public val onStop: () -> Unit = {},
     public val timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
     public val wallClock: () -> Long = System::currentTimeMillis,
+    public val endpointNotices: EndpointNotices = EndpointNotices(timeSource),
 )
--- a/entry/src/main/kotlin/org/celerywalk/entry/PlatformDependencies.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/PlatformDependencies.kt
@@ -60,6 +60,7 @@
             configurationSync.start()
             rateShares.start()
         },
+        endpointNotices = configurationSync.endpointNotices,
         onStop = { listOf(rateShares, configurationSync, table, objectStore, instances).forEach(AutoCloseable::close) },
     )
 }
--- a/entry/src/main/kotlin/org/celerywalk/entry/agents/EndpointRegistry.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/agents/EndpointRegistry.kt
@@ -9,9 +9,15 @@
 /**
  * Registry of the agent clients of all endpoints in the configuration.
  *
+ * Endpoints whose agents have stated that they stop count as inactive until their agents have started again.
+ *
+ * @property notices what the agents have stated about themselves.
  * @param openChannel opens a channel to an address of the form `host:port`.
  */
-internal class EndpointRegistry(private val openChannel: (String) -> ManagedChannel) {
+internal class EndpointRegistry(
+    val notices: AgentNotices,
+    private val openChannel: (String) -> ManagedChannel,
+) {
     @Volatile
     private var clients: Map<String, AgentClient> = emptyMap()
 
@@ -47,5 +53,6 @@
             client.apply { this.endpoint = endpoint }
         }
 
-    private fun activeClients() = clients.values.filter { it.endpoint.state == EndpointState.ACTIVE }
+    private fun activeClients() =
+        clients.values.filter { it.endpoint.state == EndpointState.ACTIVE && !notices.isStopping(it.incarnation) }
 }
--- a/entry/src/main/kotlin/org/celerywalk/entry/agents/HelloPoller.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/agents/HelloPoller.kt
@@ -32,6 +32,7 @@
 
     fun tick() {
         val clients = endpoints.allClients()
+        endpoints.notices.retain(clients.mapNotNull { it.incarnation })
         clients.filter { it.lastHelloSentAt == null }.take(MAX_NEW_AGENTS_PER_TICK).forEach(::sendHello)
         clients.minByOrNull { it.lastHelloSentAt ?: timeSource.markNow() }
             ?.takeIf { client -> client.lastHelloSentAt?.let { it.elapsedNow() >= MIN_HELLO_INTERVAL } ?: true }
@@ -63,6 +64,7 @@
                     reply.receiver.incarnation,
                 )
             }
+            if (reply.stopping) endpoints.notices.recordStopping(client.endpoint.name, reply.receiver.incarnation)
             client.incarnation = reply.receiver.incarnation
             reply.replicasList.forEach { client.updateSummary(it.toSummary(client.endpoint.name)) }
         }
--- a/entry/src/main/kotlin/org/celerywalk/entry/chat/Relay.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/chat/Relay.kt
@@ -114,6 +114,7 @@
         message.summaryOrNull()?.let {
             attempt.target.agentClient.updateSummary(it.toSummary(attempt.target.replica.endpoint))
         }
+        if (message.agentStopping) replicaSelector.recordStopping(attempt.target)
         val event = message.toStreamEvent()
         if (attempt !== attempts.current || hasEnded) return
         lastProgressAt = timeSource.markNow()
--- a/entry/src/main/kotlin/org/celerywalk/entry/chat/ReplicaSelector.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/chat/ReplicaSelector.kt
@@ -39,6 +39,10 @@
         }
     }
 
+    /** Records that the agent of [target] has stated that it stops; the attempts that it runs go on. */
+    fun recordStopping(target: SelectedReplica) =
+        endpoints.notices.recordStopping(target.replica.endpoint, target.agentIncarnation)
+
     fun recordSent(target: SelectedReplica) = endpointChooser.recordSent(target.routingRequest, target.replica)
 
     fun recordAnswer(target: SelectedReplica, cachedTokens: Int) =
--- a/entry/src/main/kotlin/org/celerywalk/entry/service/AgentServiceClient.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/service/AgentServiceClient.kt
@@ -79,11 +79,21 @@
             .thenCompose { result ->
                 result.fold(
                     { resolveLostCall(call, attempt, it) },
-                    { CompletableFuture.completedFuture(it.toOutcome()) },
+                    { handleReply(attempt, it) },
                 )
             }
     }
 
+    private fun handleReply(
+        attempt: ServiceAttempt,
+        reply: ServiceReply,
+    ): CompletableFuture<Either<Problem, ServiceAnswer>> {
+        if (reply.agentStopping) {
+            endpoints.notices.recordStopping(attempt.client.endpoint.name, attempt.agentIncarnation)
+        }
+        return CompletableFuture.completedFuture(reply.toOutcome())
+    }
+
     private fun resolveLostCall(
         call: ServiceCall,
         attempt: ServiceAttempt,
--- a/entry/src/test/kotlin/org/celerywalk/entry/FakeAgent.kt
+++ b/entry/src/test/kotlin/org/celerywalk/entry/FakeAgent.kt
@@ -47,6 +47,10 @@
     /** Replies to requests to bar an attempt; null fails the call without a reply. */
     var onBar: (BarRequest) -> BarReply? = { BarReply.newBuilder().setExecution(Execution.NOT_RUN).build() }
 
+    /** Whether replies say that the agent stops. */
+    @Volatile
+    var isStopping = false
+
     @Volatile
     private var engineStarts = 1
     private val server: Server = NettyServerBuilder.forAddress(InetSocketAddress("127.0.0.1", 0))
@@ -86,20 +90,21 @@
                 .setProtocolVersion(PROTOCOL_VERSION)
                 .setReceiver(identity)
                 .addReplicas(summary())
+                .setStopping(isStopping)
                 .build(),
         )
         helloReceived.countDown()
     }
 
     private fun generate(request: GenerateRequest, observer: StreamObserver<GenerateEvent>) {
-        val stream = FakeStream(request, observer as ServerCallStreamObserver<GenerateEvent>)
+        val stream = FakeStream(request, observer as ServerCallStreamObserver<GenerateEvent>) { isStopping }
         requests += request
         onGenerate(stream)
     }
 
     private fun callService(request: ServiceRequest, observer: StreamObserver<ServiceReply>) {
         serviceRequests += request
-        reply(observer, onServiceCall(request))
+        reply(observer, onServiceCall(request)?.toBuilder()?.setAgentStopping(isStopping)?.build())
     }
 
     // Without a value, the call fails as if the connection was lost.
@@ -125,7 +130,11 @@
 }
 
 /** Sends the events of one attempt. */
-class FakeStream(val request: GenerateRequest, val observer: ServerCallStreamObserver<GenerateEvent>) {
+class FakeStream(
+    val request: GenerateRequest,
+    val observer: ServerCallStreamObserver<GenerateEvent>,
+    private val isStopping: () -> Boolean = { false },
+) {
     val cancelled = CompletableFuture<Unit>()
     private var nextOffset = request.resumeOffset
 
@@ -170,6 +179,8 @@
         sendFinished()
     }
 
-    private fun send(build: GenerateEvent.Builder.() -> Unit) =
-        observer.onNext(GenerateEvent.newBuilder().setAttemptId(request.attemptId).apply(build).build())
+    private fun send(build: GenerateEvent.Builder.() -> Unit) {
+        val event = GenerateEvent.newBuilder().setAttemptId(request.attemptId).setAgentStopping(isStopping())
+        observer.onNext(event.apply(build).build())
+    }
 }
--- a/library/src/main/kotlin/org/celerywalk/sync/PeerClient.kt
+++ b/library/src/main/kotlin/org/celerywalk/sync/PeerClient.kt
@@ -29,12 +29,15 @@
  * @property version configuration version of the sender, 0 if it has none.
  * @property withdrawnDigest digest of the set of withdrawn key ids, by which two sets are compared.
  * @property withdrawnKeyIds ids of withdrawn keys that the sender knows; empty if the receiver is known to have them.
+ * @property stoppingAgents incarnations of agents that have told the sender that they stop; a stopping agent adds its
+ *   own.
  */
 public data class ExchangeQuery(
     public val sender: ProcessIdentity,
     public val version: Long,
     public val withdrawnDigest: Long,
     public val withdrawnKeyIds: Set<String>,
+    public val stoppingAgents: Set<String> = emptySet(),
 )
 
 /**
@@ -45,6 +48,7 @@
  * @property withdrawnKeyIds ids of withdrawn keys that the receiver knows; empty if the digests are equal.
  * @property tableAge age of the latest state of the table that the receiver has applied, null if it has applied none.
  * @property isTableReachable true if the table answered the receiver's last call.
+ * @property stoppingAgents incarnations of agents that have told the receiver that they stop.
  */
 public data class ExchangeResponse(
     public val receiver: ProcessIdentity,
@@ -53,6 +57,7 @@
     public val withdrawnKeyIds: Set<String>,
     public val tableAge: Duration?,
     public val isTableReachable: Boolean,
+    public val stoppingAgents: Set<String> = emptySet(),
 )
 
 /** A peer did not answer, or its answer was not usable. */
--- a/library/src/main/kotlin/org/celerywalk/sync/PeerSync.kt
+++ b/library/src/main/kotlin/org/celerywalk/sync/PeerSync.kt
@@ -1,5 +1,6 @@
 package org.celerywalk.sync
 
+import org.celerywalk.endpoint.agentStart
 import org.celerywalk.instance.Backoff
 import org.celerywalk.instance.Member
 import org.celerywalk.instance.Membership
@@ -65,8 +66,11 @@
         }
     }
 
-    /** Notifies peers of a version that only this process may know, because the table can fail after the commit. */
-    fun announceVersion(): Unit = peerSelector.peersToNotify().forEach(::startExchange)
+    /**
+     * Notifies peers at once of what only this process may know: a version, because the table can fail after the
+     * commit, or that it stops.
+     */
+    fun notifyPeers(): Unit = peerSelector.peersToNotify().forEach(::startExchange)
 
     /**
      * Handles the state that another process sent with [query].
@@ -84,7 +88,8 @@
         val asOf = context.time.markNow()
         val digest = context.withdrawnKeys.digest
         val ids = if (member.withdrawnDigest == digest) emptySet() else context.withdrawnKeys.ids
-        val query = ExchangeQuery(context.identity(), context.state.document.version, digest, ids)
+        val stoppingAgents = context.endpointNotices.leavingStarts.map { it.id }.toSet()
+        val query = ExchangeQuery(context.identity(), context.state.document.version, digest, ids, stoppingAgents)
         context.peers.exchange(member.address, query).whenCompleteAsync({ result, _ ->
             pendingAddresses -= member.address
             result.fold({ membership.recordFailure(member.address) }, { handleResponse(member.address, it, asOf) })
@@ -94,6 +99,7 @@
 
     private fun handleResponse(address: String, response: ExchangeResponse, asOf: ComparableTimeMark) {
         membership.recordContact(response.receiver, response.withdrawnDigest)
+        context.endpointNotices.mergeLeaving(response.stoppingAgents.map(::agentStart).toSet())
         if (context.withdrawnKeys.add(response.withdrawnKeyIds)) sendWithdrawnKeys()
         if (response.version > context.state.document.version) {
             fetchSections(address) { confirm(response, asOf) }
--- a/library/src/main/kotlin/org/celerywalk/sync/SyncContext.kt
+++ b/library/src/main/kotlin/org/celerywalk/sync/SyncContext.kt
@@ -3,6 +3,8 @@
 import org.celerywalk.configuration.ConfigurationState
 import org.celerywalk.configuration.DocumentCodec
 import org.celerywalk.configuration.SnapshotStore
+import org.celerywalk.endpoint.EndpointNotices
+import org.celerywalk.endpoint.agentStart
 import org.celerywalk.instance.ProcessIdentity
 import org.celerywalk.key.WithdrawnKeys
 import org.celerywalk.key.WithdrawnKeysFreshness
@@ -18,6 +20,7 @@
  * @property identity returns the identity of this process, with its final address once the synchronisation has started.
  * @property settingsPeers gRPC addresses of other processes from the settings.
  * @property executor runs all tasks that change the state of the synchronisation, one at a time.
+ * @property endpointNotices agents that have stated that they stop, as their [agentStart].
  * @property wallClock milliseconds since the epoch, for the audit trail only.
  * @property report logs a fault that needs an operator's attention; each call is one event on one line.
  */
@@ -36,6 +39,7 @@
     public val executor: Executor,
     public val wallClock: () -> Long,
     public val report: (String) -> Unit,
+    public val endpointNotices: EndpointNotices = EndpointNotices(time),
 ) {
     /** Configuration that is in force in this process. */
     public val state: ConfigurationState = ConfigurationState(codec)
--- a/library/src/main/kotlin/org/celerywalk/sync/Synchroniser.kt
+++ b/library/src/main/kotlin/org/celerywalk/sync/Synchroniser.kt
@@ -4,6 +4,8 @@
 import org.celerywalk.configuration.Document
 import org.celerywalk.configuration.SectionText
 import org.celerywalk.configuration.Team
+import org.celerywalk.endpoint.agentStart
+import org.celerywalk.instance.Role
 import kotlin.time.Duration
 
 /**
@@ -30,7 +32,11 @@
     public fun pollTable(): Duration = table.poll()
 
     /** Starts a round of exchanges with other processes and returns the delay until the next round. */
-    public fun exchangeWithPeers(): Duration = peers.exchange()
+    public fun exchangeWithPeers(): Duration {
+        // Entries know the endpoints that still exist, and forget the notices of others themselves.
+        if (context.identity().role == Role.AGENT) context.endpointNotices.retain(emptySet())
+        return peers.exchange()
+    }
 
     /** Starts a read of the instance list and returns the delay until the next read. */
     public fun readInstanceList(): Duration = peers.readInstanceList()
@@ -38,6 +44,11 @@
     /** Answers an exchange that another process started. May be called on any thread. */
     public fun answerExchange(query: ExchangeQuery): ExchangeResponse {
         val hasNewWithdrawnKeys = context.withdrawnKeys.add(query.withdrawnKeyIds)
+        // A stopping agent is the owner of the statement, which this process then reports to others.
+        if (query.sender.incarnation in query.stoppingAgents) {
+            context.endpointNotices.recordLeaving(agentStart(query.sender.incarnation))
+        }
+        context.endpointNotices.mergeLeaving(query.stoppingAgents.map(::agentStart).toSet())
         context.executor.execute { peers.handleQuery(query, hasNewWithdrawnKeys) }
         // The age is read before the version and the digest, so that these are at least as recent as the age says.
         val tableAge = context.freshness.tableAge
@@ -50,6 +61,7 @@
             withdrawnKeyIds = if (digest == query.withdrawnDigest) emptySet() else context.withdrawnKeys.ids,
             tableAge = tableAge,
             isTableReachable = isTableReachable,
+            stoppingAgents = context.endpointNotices.leavingStarts.map { it.id }.toSet(),
         )
     }
 
@@ -65,11 +77,17 @@
         if (context.withdrawnKeys.add(ids)) context.executor.execute { peers.sendWithdrawnKeys() }
     }
 
+    /** Tells the other processes that this agent stops. May be called on any thread. */
+    public fun announceStop() {
+        context.endpointNotices.recordLeaving(agentStart(context.identity().incarnation))
+        context.executor.execute { peers.notifyPeers() }
+    }
+
     /** Adopts a document that this process has committed, notifies peers and saves a snapshot in the object store. */
     public fun adoptCommitted(document: Document) {
         context.executor.execute {
             adoption.adopt(document)
-            peers.announceVersion()
+            peers.notifyPeers()
         }
         context.snapshots.save(document).thenAccept { result ->
             result.onLeft { context.report("event=snapshot_not_saved message=\"${it.message}\"") }
--- a/protocol/src/main/java/org/celerywalk/protocol/Celerywalk.java
+++ b/protocol/src/main/java/org/celerywalk/protocol/Celerywalk.java
@@ -200,140 +200,143 @@
       "\t\022\023\n\013data_centre\030\005 \001(\t\022\017\n\007address\030\006 \001(\t\"" +
       "X\n\014HelloRequest\022\030\n\020protocol_version\030\001 \001(" +
       "\005\022.\n\006sender\030\002 \001(\0132\036.celerywalk.v1.Proces" +
-      "sIdentity\"\211\001\n\nHelloReply\022\030\n\020protocol_ver" +
+      "sIdentity\"\233\001\n\nHelloReply\022\030\n\020protocol_ver" +
       "sion\030\001 \001(\005\0220\n\010receiver\030\002 \001(\0132\036.celerywal" +
       "k.v1.ProcessIdentity\022/\n\010replicas\030\003 \003(\0132\035" +
-      ".celerywalk.v1.ReplicaSummary\"\344\001\n\016Replic" +
-      "aSummary\022\017\n\007replica\030\001 \001(\t\022\r\n\005model\030\002 \001(\t" +
-      "\022\017\n\007weights\030\003 \001(\t\022\032\n\022engine_incarnation\030" +
-      "\004 \001(\t\022\021\n\taccepting\030\005 \001(\010\022\025\n\rqueued_token" +
-      "s\030\006 \001(\003\022\017\n\007running\030\007 \001(\005\022\020\n\010capacity\030\010 \001" +
-      "(\005\022\025\n\rrecent_pieces\030\t \003(\007\022!\n\031prefill_tok" +
-      "ens_per_second\030\n \001(\003\"\302\002\n\017GenerateRequest" +
-      "\022\022\n\nattempt_id\030\001 \001(\t\022\031\n\021agent_incarnatio" +
-      "n\030\002 \001(\t\022\022\n\nrequest_id\030\003 \001(\t\022\026\n\016client_ac" +
-      "count\030\004 \001(\t\022\r\n\005model\030\005 \001(\t\022\017\n\007weights\030\006 " +
-      "\001(\t\022\017\n\007replica\030\007 \001(\t\022\016\n\006prompt\030\010 \001(\t\022\022\n\n" +
-      "max_tokens\030\t \001(\005\022\020\n\010priority\030\n \001(\005\022\025\n\rre" +
-      "sume_offset\030\013 \001(\005\022\023\n\013resume_text\030\014 \001(\t\022\027" +
-      "\n\017deadline_millis\030\r \001(\003\022\024\n\014piece_hashes\030" +
-      "\016 \003(\006\022\022\n\nredirected\030\017 \001(\010\"\370\001\n\rGenerateEv" +
-      "ent\022\022\n\nattempt_id\030\001 \001(\t\0221\n\007started\030\002 \001(\013" +
-      "2\036.celerywalk.v1.GenerateStartedH\000\022/\n\006to" +
-      "kens\030\003 \001(\0132\035.celerywalk.v1.GenerateToken" +
-      "sH\000\0223\n\010finished\030\004 \001(\0132\037.celerywalk.v1.Ge" +
-      "nerateFinishedH\000\0221\n\007refused\030\005 \001(\0132\036.cele" +
-      "rywalk.v1.GenerateRefusedH\000B\007\n\005event\"\255\001\n" +
-      "\017GenerateStarted\022\017\n\007replica\030\001 \001(\t\022\017\n\007wei" +
-      "ghts\030\002 \001(\t\022\032\n\022engine_incarnation\030\003 \001(\t\022\025" +
-      "\n\rprompt_tokens\030\004 \001(\005\022\025\n\rcached_tokens\030\005" +
-      " \001(\005\022.\n\007summary\030\006 \001(\0132\035.celerywalk.v1.Re" +
-      "plicaSummary\"=\n\016GenerateTokens\022\016\n\006offset" +
-      "\030\001 \001(\005\022\r\n\005count\030\002 \001(\005\022\014\n\004text\030\003 \001(\t\"o\n\020G" +
-      "enerateFinished\022\024\n\014total_tokens\030\001 \001(\005\022\025\n" +
-      "\rfinish_reason\030\002 \001(\t\022.\n\007summary\030\003 \001(\0132\035." +
-      "celerywalk.v1.ReplicaSummary\"\304\001\n\017Generat" +
-      "eRefused\022\014\n\004code\030\001 \001(\t\022\017\n\007message\030\002 \001(\t\022" +
-      "+\n\texecution\030\003 \001(\0162\030.celerywalk.v1.Execu" +
-      "tion\022\032\n\022retry_after_millis\030\004 \001(\003\022.\n\007summ" +
-      "ary\030\005 \001(\0132\035.celerywalk.v1.ReplicaSummary" +
-      "\022\031\n\021redirect_endpoint\030\006 \001(\t\"%\n\006Header\022\014\n" +
-      "\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\234\002\n\016ServiceRe" +
-      "quest\022\022\n\nattempt_id\030\001 \001(\t\022\031\n\021agent_incar" +
-      "nation\030\002 \001(\t\022\022\n\nrequest_id\030\003 \001(\t\022\026\n\016clie" +
-      "nt_account\030\004 \001(\t\022\017\n\007service\030\005 \001(\t\022\016\n\006met" +
-      "hod\030\006 \001(\t\022\014\n\004path\030\007 \001(\t\022&\n\007headers\030\010 \003(\013" +
-      "2\025.celerywalk.v1.Header\022\014\n\004body\030\t \001(\014\022\027\n" +
-      "\017idempotency_key\030\n \001(\t\022\026\n\016request_digest" +
-      "\030\013 \001(\014\022\031\n\021expires_at_millis\030\014 \001(\003\"\342\001\n\014Se" +
-      "rviceReply\022\022\n\nattempt_id\030\001 \001(\t\022+\n\texecut" +
-      "ion\030\002 \001(\0162\030.celerywalk.v1.Execution\022\016\n\006s" +
-      "tatus\030\003 \001(\005\022&\n\007headers\030\004 \003(\0132\025.celerywal" +
-      "k.v1.Header\022\014\n\004body\030\005 \001(\014\022\020\n\010replayed\030\006 " +
-      "\001(\010\022\014\n\004code\030\007 \001(\t\022\017\n\007message\030\010 \001(\t\022\032\n\022re" +
-      "try_after_millis\030\t \001(\003\"V\n\nBarRequest\022\022\n\n" +
-      "attempt_id\030\001 \001(\t\022\031\n\021agent_incarnation\030\002 " +
-      "\001(\t\022\031\n\021expires_at_millis\030\003 \001(\003\"7\n\010BarRep" +
-      "ly\022+\n\texecution\030\001 \001(\0162\030.celerywalk.v1.Ex" +
-      "ecution\"2\n\016SectionVersion\022\017\n\007section\030\001 \001" +
-      "(\t\022\017\n\007version\030\002 \001(\003\"\253\001\n\017ExchangeRequest\022" +
-      ".\n\006sender\030\001 \001(\0132\036.celerywalk.v1.ProcessI" +
-      "dentity\022\035\n\025configuration_version\030\002 \001(\003\022\030" +
-      "\n\020withdrawn_digest\030\003 \001(\006\022\027\n\017withdrawn_co" +
-      "unt\030\004 \001(\005\022\026\n\016withdrawn_keys\030\005 \003(\t\"\216\002\n\rEx" +
-      "changeReply\0220\n\010receiver\030\001 \001(\0132\036.celerywa" +
-      "lk.v1.ProcessIdentity\022\035\n\025configuration_v" +
-      "ersion\030\002 \001(\003\022\026\n\016withdrawn_keys\030\003 \003(\t\022/\n\010" +
-      "replicas\030\004 \003(\0132\035.celerywalk.v1.ReplicaSu" +
-      "mmary\022\030\n\020withdrawn_digest\030\005 \001(\006\022\035\n\020table" +
-      "_age_millis\030\006 \001(\003H\000\210\001\001\022\025\n\rtable_answers\030" +
-      "\007 \001(\010B\023\n\021_table_age_millis\"C\n\024Configurat" +
-      "ionRequest\022+\n\004have\030\001 \003(\0132\035.celerywalk.v1" +
-      ".SectionVersion\"\\\n\022ConfigurationReply\022\017\n" +
-      "\007version\030\001 \001(\003\0225\n\010sections\030\002 \003(\0132#.celer" +
-      "ywalk.v1.ConfigurationSection\"F\n\024Configu" +
-      "rationSection\022\017\n\007section\030\001 \001(\t\022\017\n\007versio" +
-      "n\030\002 \001(\003\022\014\n\004yaml\030\003 \001(\t\"O\n\022WithdrawKeyRequ" +
-      "est\022\026\n\016operator_token\030\001 \001(\t\022\016\n\006key_id\030\002 " +
-      "\001(\t\022\021\n\tchange_id\030\003 \001(\t\"\233\001\n\020WithdrawKeyRe" +
-      "ply\022\020\n\010accepted\030\001 \001(\010\022\020\n\010recorded\030\002 \001(\010\022" +
-      "\017\n\007message\030\003 \001(\t\022\017\n\007version\030\004 \001(\003\0220\n\010rec" +
-      "eiver\030\005 \001(\0132\036.celerywalk.v1.ProcessIdent" +
-      "ity\022\017\n\007entries\030\006 \003(\t\"\220\001\n\rBorrowRequest\022\017" +
-      "\n\007loan_id\030\001 \001(\t\0220\n\010borrower\030\002 \001(\0132\036.cele" +
-      "rywalk.v1.ProcessIdentity\022\026\n\016client_acco" +
-      "unt\030\003 \001(\t\022\016\n\006tokens\030\004 \001(\003\022\024\n\014closed_loan" +
-      "s\030\005 \003(\t\"D\n\013BorrowReply\022\017\n\007loan_id\030\001 \001(\t\022" +
-      "\016\n\006tokens\030\002 \001(\003\022\024\n\014valid_millis\030\003 \001(\003\"\222\001" +
-      "\n\014ApplyRequest\022\026\n\016operator_token\030\001 \001(\t\022\021" +
-      "\n\tchange_id\030\002 \001(\t\0225\n\010sections\030\003 \003(\0132#.ce" +
-      "lerywalk.v1.ConfigurationSection\022\017\n\007comm" +
-      "ent\030\004 \001(\t\022\017\n\007dry_run\030\005 \001(\010\"S\n\nApplyReply" +
-      "\022\016\n\006result\030\001 \001(\t\022\017\n\007version\030\002 \001(\003\022\020\n\010pro" +
-      "blems\030\003 \003(\t\022\022\n\ndifference\030\004 \003(\t\"%\n\013ShowR" +
-      "equest\022\026\n\016operator_token\030\001 \001(\t\"7\n\016Histor" +
-      "yRequest\022\026\n\016operator_token\030\001 \001(\t\022\r\n\005limi" +
-      "t\030\002 \001(\005\"\264\001\n\nAuditEntry\022\017\n\007version\030\001 \001(\003\022" +
-      "\030\n\020previous_version\030\002 \001(\003\022\021\n\tchange_id\030\003" +
-      " \001(\t\022\020\n\010operator\030\004 \001(\t\022\014\n\004team\030\005 \001(\t\022\020\n\010" +
-      "sections\030\006 \003(\t\022\021\n\tat_millis\030\007 \001(\003\022\022\n\ndif" +
-      "ference\030\010 \003(\t\022\017\n\007comment\030\t \001(\t\":\n\014Histor" +
-      "yReply\022*\n\007entries\030\001 \003(\0132\031.celerywalk.v1." +
-      "AuditEntry\"-\n\023EndpointListRequest\022\026\n\016ope" +
-      "rator_token\030\001 \001(\t\"\210\001\n\016EndpointStatus\022\020\n\010" +
-      "endpoint\030\001 \001(\t\022\023\n\013data_centre\030\002 \001(\t\022\017\n\007a" +
-      "ddress\030\003 \001(\t\022\r\n\005state\030\004 \001(\t\022/\n\010replicas\030" +
-      "\005 \003(\0132\035.celerywalk.v1.ReplicaSummary\"E\n\021" +
-      "EndpointListReply\0220\n\tendpoints\030\001 \003(\0132\035.c" +
-      "elerywalk.v1.EndpointStatus*I\n\tExecution" +
-      "\022\031\n\025EXECUTION_UNSPECIFIED\020\000\022\013\n\007NOT_RUN\020\001" +
-      "\022\007\n\003RAN\020\002\022\013\n\007UNKNOWN\020\0032\232\002\n\005Agent\022?\n\005Hell" +
-      "o\022\033.celerywalk.v1.HelloRequest\032\031.celeryw" +
-      "alk.v1.HelloReply\022J\n\010Generate\022\036.celerywa" +
-      "lk.v1.GenerateRequest\032\034.celerywalk.v1.Ge" +
-      "nerateEvent0\001\022I\n\013CallService\022\035.celerywal" +
-      "k.v1.ServiceRequest\032\033.celerywalk.v1.Serv" +
-      "iceReply\0229\n\003Bar\022\031.celerywalk.v1.BarReque" +
-      "st\032\027.celerywalk.v1.BarReply2\300\002\n\004Peer\022H\n\010" +
-      "Exchange\022\036.celerywalk.v1.ExchangeRequest" +
-      "\032\034.celerywalk.v1.ExchangeReply\022W\n\rConfig" +
-      "uration\022#.celerywalk.v1.ConfigurationReq" +
-      "uest\032!.celerywalk.v1.ConfigurationReply\022" +
-      "B\n\006Borrow\022\034.celerywalk.v1.BorrowRequest\032" +
-      "\032.celerywalk.v1.BorrowReply\022Q\n\013WithdrawK" +
-      "ey\022!.celerywalk.v1.WithdrawKeyRequest\032\037." +
-      "celerywalk.v1.WithdrawKeyReply2\203\003\n\010Opera" +
-      "tor\022?\n\005Apply\022\033.celerywalk.v1.ApplyReques" +
-      "t\032\031.celerywalk.v1.ApplyReply\022E\n\004Show\022\032.c" +
-      "elerywalk.v1.ShowRequest\032!.celerywalk.v1" +
-      ".ConfigurationReply\022E\n\007History\022\035.celeryw" +
-      "alk.v1.HistoryRequest\032\033.celerywalk.v1.Hi" +
-      "storyReply\022U\n\rListEndpoints\022\".celerywalk" +
-      ".v1.EndpointListRequest\032 .celerywalk.v1." +
-      "EndpointListReply\022Q\n\013WithdrawKey\022!.celer" +
-      "ywalk.v1.WithdrawKeyRequest\032\037.celerywalk" +
-      ".v1.WithdrawKeyReplyB\033\n\027org.celerywalk.p" +
-      "rotocolP\001b\006proto3"
+      ".celerywalk.v1.ReplicaSummary\022\020\n\010stoppin" +
+      "g\030\004 \001(\010\"\344\001\n\016ReplicaSummary\022\017\n\007replica\030\001 " +
+      "\001(\t\022\r\n\005model\030\002 \001(\t\022\017\n\007weights\030\003 \001(\t\022\032\n\022e" +
+      "ngine_incarnation\030\004 \001(\t\022\021\n\taccepting\030\005 \001" +
+      "(\010\022\025\n\rqueued_tokens\030\006 \001(\003\022\017\n\007running\030\007 \001" +
+      "(\005\022\020\n\010capacity\030\010 \001(\005\022\025\n\rrecent_pieces\030\t " +
+      "\003(\007\022!\n\031prefill_tokens_per_second\030\n \001(\003\"\302" +
+      "\002\n\017GenerateRequest\022\022\n\nattempt_id\030\001 \001(\t\022\031" +
+      "\n\021agent_incarnation\030\002 \001(\t\022\022\n\nrequest_id\030" +
+      "\003 \001(\t\022\026\n\016client_account\030\004 \001(\t\022\r\n\005model\030\005" +
+      " \001(\t\022\017\n\007weights\030\006 \001(\t\022\017\n\007replica\030\007 \001(\t\022\016" +
+      "\n\006prompt\030\010 \001(\t\022\022\n\nmax_tokens\030\t \001(\005\022\020\n\010pr" +
+      "iority\030\n \001(\005\022\025\n\rresume_offset\030\013 \001(\005\022\023\n\013r" +
+      "esume_text\030\014 \001(\t\022\027\n\017deadline_millis\030\r \001(" +
+      "\003\022\024\n\014piece_hashes\030\016 \003(\006\022\022\n\nredirected\030\017 " +
+      "\001(\010\"\220\002\n\rGenerateEvent\022\022\n\nattempt_id\030\001 \001(" +
+      "\t\0221\n\007started\030\002 \001(\0132\036.celerywalk.v1.Gener" +
+      "ateStartedH\000\022/\n\006tokens\030\003 \001(\0132\035.celerywal" +
+      "k.v1.GenerateTokensH\000\0223\n\010finished\030\004 \001(\0132" +
+      "\037.celerywalk.v1.GenerateFinishedH\000\0221\n\007re" +
+      "fused\030\005 \001(\0132\036.celerywalk.v1.GenerateRefu" +
+      "sedH\000\022\026\n\016agent_stopping\030\006 \001(\010B\007\n\005event\"\255" +
+      "\001\n\017GenerateStarted\022\017\n\007replica\030\001 \001(\t\022\017\n\007w" +
+      "eights\030\002 \001(\t\022\032\n\022engine_incarnation\030\003 \001(\t" +
+      "\022\025\n\rprompt_tokens\030\004 \001(\005\022\025\n\rcached_tokens" +
+      "\030\005 \001(\005\022.\n\007summary\030\006 \001(\0132\035.celerywalk.v1." +
+      "ReplicaSummary\"=\n\016GenerateTokens\022\016\n\006offs" +
+      "et\030\001 \001(\005\022\r\n\005count\030\002 \001(\005\022\014\n\004text\030\003 \001(\t\"o\n" +
+      "\020GenerateFinished\022\024\n\014total_tokens\030\001 \001(\005\022" +
+      "\025\n\rfinish_reason\030\002 \001(\t\022.\n\007summary\030\003 \001(\0132" +
+      "\035.celerywalk.v1.ReplicaSummary\"\304\001\n\017Gener" +
+      "ateRefused\022\014\n\004code\030\001 \001(\t\022\017\n\007message\030\002 \001(" +
+      "\t\022+\n\texecution\030\003 \001(\0162\030.celerywalk.v1.Exe" +
+      "cution\022\032\n\022retry_after_millis\030\004 \001(\003\022.\n\007su" +
+      "mmary\030\005 \001(\0132\035.celerywalk.v1.ReplicaSumma" +
+      "ry\022\031\n\021redirect_endpoint\030\006 \001(\t\"%\n\006Header\022" +
+      "\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\234\002\n\016Service" +
+      "Request\022\022\n\nattempt_id\030\001 \001(\t\022\031\n\021agent_inc" +
+      "arnation\030\002 \001(\t\022\022\n\nrequest_id\030\003 \001(\t\022\026\n\016cl" +
+      "ient_account\030\004 \001(\t\022\017\n\007service\030\005 \001(\t\022\016\n\006m" +
+      "ethod\030\006 \001(\t\022\014\n\004path\030\007 \001(\t\022&\n\007headers\030\010 \003" +
+      "(\0132\025.celerywalk.v1.Header\022\014\n\004body\030\t \001(\014\022" +
+      "\027\n\017idempotency_key\030\n \001(\t\022\026\n\016request_dige" +
+      "st\030\013 \001(\014\022\031\n\021expires_at_millis\030\014 \001(\003\"\372\001\n\014" +
+      "ServiceReply\022\022\n\nattempt_id\030\001 \001(\t\022+\n\texec" +
+      "ution\030\002 \001(\0162\030.celerywalk.v1.Execution\022\016\n" +
+      "\006status\030\003 \001(\005\022&\n\007headers\030\004 \003(\0132\025.celeryw" +
+      "alk.v1.Header\022\014\n\004body\030\005 \001(\014\022\020\n\010replayed\030" +
+      "\006 \001(\010\022\014\n\004code\030\007 \001(\t\022\017\n\007message\030\010 \001(\t\022\032\n\022" +
+      "retry_after_millis\030\t \001(\003\022\026\n\016agent_stoppi" +
+      "ng\030\n \001(\010\"V\n\nBarRequest\022\022\n\nattempt_id\030\001 \001" +
+      "(\t\022\031\n\021agent_incarnation\030\002 \001(\t\022\031\n\021expires" +
+      "_at_millis\030\003 \001(\003\"7\n\010BarReply\022+\n\texecutio" +
+      "n\030\001 \001(\0162\030.celerywalk.v1.Execution\"2\n\016Sec" +
+      "tionVersion\022\017\n\007section\030\001 \001(\t\022\017\n\007version\030" +
+      "\002 \001(\003\"\304\001\n\017ExchangeRequest\022.\n\006sender\030\001 \001(" +
+      "\0132\036.celerywalk.v1.ProcessIdentity\022\035\n\025con" +
+      "figuration_version\030\002 \001(\003\022\030\n\020withdrawn_di" +
+      "gest\030\003 \001(\006\022\027\n\017withdrawn_count\030\004 \001(\005\022\026\n\016w" +
+      "ithdrawn_keys\030\005 \003(\t\022\027\n\017stopping_agents\030\006" +
+      " \003(\t\"\247\002\n\rExchangeReply\0220\n\010receiver\030\001 \001(\013" +
+      "2\036.celerywalk.v1.ProcessIdentity\022\035\n\025conf" +
+      "iguration_version\030\002 \001(\003\022\026\n\016withdrawn_key" +
+      "s\030\003 \003(\t\022/\n\010replicas\030\004 \003(\0132\035.celerywalk.v" +
+      "1.ReplicaSummary\022\030\n\020withdrawn_digest\030\005 \001" +
+      "(\006\022\035\n\020table_age_millis\030\006 \001(\003H\000\210\001\001\022\025\n\rtab" +
+      "le_answers\030\007 \001(\010\022\027\n\017stopping_agents\030\010 \003(" +
+      "\tB\023\n\021_table_age_millis\"C\n\024ConfigurationR" +
+      "equest\022+\n\004have\030\001 \003(\0132\035.celerywalk.v1.Sec" +
+      "tionVersion\"\\\n\022ConfigurationReply\022\017\n\007ver" +
+      "sion\030\001 \001(\003\0225\n\010sections\030\002 \003(\0132#.celerywal" +
+      "k.v1.ConfigurationSection\"F\n\024Configurati" +
+      "onSection\022\017\n\007section\030\001 \001(\t\022\017\n\007version\030\002 " +
+      "\001(\003\022\014\n\004yaml\030\003 \001(\t\"O\n\022WithdrawKeyRequest\022" +
+      "\026\n\016operator_token\030\001 \001(\t\022\016\n\006key_id\030\002 \001(\t\022" +
+      "\021\n\tchange_id\030\003 \001(\t\"\233\001\n\020WithdrawKeyReply\022" +
+      "\020\n\010accepted\030\001 \001(\010\022\020\n\010recorded\030\002 \001(\010\022\017\n\007m" +
+      "essage\030\003 \001(\t\022\017\n\007version\030\004 \001(\003\0220\n\010receive" +
+      "r\030\005 \001(\0132\036.celerywalk.v1.ProcessIdentity\022" +
+      "\017\n\007entries\030\006 \003(\t\"\220\001\n\rBorrowRequest\022\017\n\007lo" +
+      "an_id\030\001 \001(\t\0220\n\010borrower\030\002 \001(\0132\036.celerywa" +
+      "lk.v1.ProcessIdentity\022\026\n\016client_account\030" +
+      "\003 \001(\t\022\016\n\006tokens\030\004 \001(\003\022\024\n\014closed_loans\030\005 " +
+      "\003(\t\"D\n\013BorrowReply\022\017\n\007loan_id\030\001 \001(\t\022\016\n\006t" +
+      "okens\030\002 \001(\003\022\024\n\014valid_millis\030\003 \001(\003\"\222\001\n\014Ap" +
+      "plyRequest\022\026\n\016operator_token\030\001 \001(\t\022\021\n\tch" +
+      "ange_id\030\002 \001(\t\0225\n\010sections\030\003 \003(\0132#.celery" +
+      "walk.v1.ConfigurationSection\022\017\n\007comment\030" +
+      "\004 \001(\t\022\017\n\007dry_run\030\005 \001(\010\"S\n\nApplyReply\022\016\n\006" +
+      "result\030\001 \001(\t\022\017\n\007version\030\002 \001(\003\022\020\n\010problem" +
+      "s\030\003 \003(\t\022\022\n\ndifference\030\004 \003(\t\"%\n\013ShowReque" +
+      "st\022\026\n\016operator_token\030\001 \001(\t\"7\n\016HistoryReq" +
+      "uest\022\026\n\016operator_token\030\001 \001(\t\022\r\n\005limit\030\002 " +
+      "\001(\005\"\264\001\n\nAuditEntry\022\017\n\007version\030\001 \001(\003\022\030\n\020p" +
+      "revious_version\030\002 \001(\003\022\021\n\tchange_id\030\003 \001(\t" +
+      "\022\020\n\010operator\030\004 \001(\t\022\014\n\004team\030\005 \001(\t\022\020\n\010sect" +
+      "ions\030\006 \003(\t\022\021\n\tat_millis\030\007 \001(\003\022\022\n\ndiffere" +
+      "nce\030\010 \003(\t\022\017\n\007comment\030\t \001(\t\":\n\014HistoryRep" +
+      "ly\022*\n\007entries\030\001 \003(\0132\031.celerywalk.v1.Audi" +
+      "tEntry\"-\n\023EndpointListRequest\022\026\n\016operato" +
+      "r_token\030\001 \001(\t\"\210\001\n\016EndpointStatus\022\020\n\010endp" +
+      "oint\030\001 \001(\t\022\023\n\013data_centre\030\002 \001(\t\022\017\n\007addre" +
+      "ss\030\003 \001(\t\022\r\n\005state\030\004 \001(\t\022/\n\010replicas\030\005 \003(" +
+      "\0132\035.celerywalk.v1.ReplicaSummary\"E\n\021Endp" +
+      "ointListReply\0220\n\tendpoints\030\001 \003(\0132\035.celer" +
+      "ywalk.v1.EndpointStatus*I\n\tExecution\022\031\n\025" +
+      "EXECUTION_UNSPECIFIED\020\000\022\013\n\007NOT_RUN\020\001\022\007\n\003" +
+      "RAN\020\002\022\013\n\007UNKNOWN\020\0032\232\002\n\005Agent\022?\n\005Hello\022\033." +
+      "celerywalk.v1.HelloRequest\032\031.celerywalk." +
+      "v1.HelloReply\022J\n\010Generate\022\036.celerywalk.v" +
+      "1.GenerateRequest\032\034.celerywalk.v1.Genera" +
+      "teEvent0\001\022I\n\013CallService\022\035.celerywalk.v1" +
+      ".ServiceRequest\032\033.celerywalk.v1.ServiceR" +
+      "eply\0229\n\003Bar\022\031.celerywalk.v1.BarRequest\032\027" +
+      ".celerywalk.v1.BarReply2\300\002\n\004Peer\022H\n\010Exch" +
+      "ange\022\036.celerywalk.v1.ExchangeRequest\032\034.c" +
+      "elerywalk.v1.ExchangeReply\022W\n\rConfigurat" +
+      "ion\022#.celerywalk.v1.ConfigurationRequest" +
+      "\032!.celerywalk.v1.ConfigurationReply\022B\n\006B" +
+      "orrow\022\034.celerywalk.v1.BorrowRequest\032\032.ce" +
+      "lerywalk.v1.BorrowReply\022Q\n\013WithdrawKey\022!" +
+      ".celerywalk.v1.WithdrawKeyRequest\032\037.cele" +
+      "rywalk.v1.WithdrawKeyReply2\203\003\n\010Operator\022" +
+      "?\n\005Apply\022\033.celerywalk.v1.ApplyRequest\032\031." +
+      "celerywalk.v1.ApplyReply\022E\n\004Show\022\032.celer" +
+      "ywalk.v1.ShowRequest\032!.celerywalk.v1.Con" +
+      "figurationReply\022E\n\007History\022\035.celerywalk." +
+      "v1.HistoryRequest\032\033.celerywalk.v1.Histor" +
+      "yReply\022U\n\rListEndpoints\022\".celerywalk.v1." +
+      "EndpointListRequest\032 .celerywalk.v1.Endp" +
+      "ointListReply\022Q\n\013WithdrawKey\022!.celerywal" +
+      "k.v1.WithdrawKeyRequest\032\037.celerywalk.v1." +
+      "WithdrawKeyReplyB\033\n\027org.celerywalk.proto" +
+      "colP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -356,7 +359,7 @@
     internal_static_celerywalk_v1_HelloReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_celerywalk_v1_HelloReply_descriptor,
-        new java.lang.String[] { "ProtocolVersion", "Receiver", "Replicas", });
+        new java.lang.String[] { "ProtocolVersion", "Receiver", "Replicas", "Stopping", });
     internal_static_celerywalk_v1_ReplicaSummary_descriptor =
       getDescriptor().getMessageTypes().get(3);
     internal_static_celerywalk_v1_ReplicaSummary_fieldAccessorTable = new
@@ -374,7 +377,7 @@
     internal_static_celerywalk_v1_GenerateEvent_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_celerywalk_v1_GenerateEvent_descriptor,
-        new java.lang.String[] { "AttemptId", "Started", "Tokens", "Finished", "Refused", "Event", });
+        new java.lang.String[] { "AttemptId", "Started", "Tokens", "Finished", "Refused", "AgentStopping", "Event", });
     internal_static_celerywalk_v1_GenerateStarted_descriptor =
       getDescriptor().getMessageTypes().get(6);
     internal_static_celerywalk_v1_GenerateStarted_fieldAccessorTable = new
@@ -416,7 +419,7 @@
     internal_static_celerywalk_v1_ServiceReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_celerywalk_v1_ServiceReply_descriptor,
-        new java.lang.String[] { "AttemptId", "Execution", "Status", "Headers", "Body", "Replayed", "Code", "Message", "RetryAfterMillis", });
+        new java.lang.String[] { "AttemptId", "Execution", "Status", "Headers", "Body", "Replayed", "Code", "Message", "RetryAfterMillis", "AgentStopping", });
     internal_static_celerywalk_v1_BarRequest_descriptor =
       getDescriptor().getMessageTypes().get(13);
     internal_static_celerywalk_v1_BarRequest_fieldAccessorTable = new
@@ -440,13 +443,13 @@
     internal_static_celerywalk_v1_ExchangeRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_celerywalk_v1_ExchangeRequest_descriptor,
-        new java.lang.String[] { "Sender", "ConfigurationVersion", "WithdrawnDigest", "WithdrawnCount", "WithdrawnKeys", });
+        new java.lang.String[] { "Sender", "ConfigurationVersion", "WithdrawnDigest", "WithdrawnCount", "WithdrawnKeys", "StoppingAgents", });
     internal_static_celerywalk_v1_ExchangeReply_descriptor =
       getDescriptor().getMessageTypes().get(17);
     internal_static_celerywalk_v1_ExchangeReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_celerywalk_v1_ExchangeReply_descriptor,
-        new java.lang.String[] { "Receiver", "ConfigurationVersion", "WithdrawnKeys", "Replicas", "WithdrawnDigest", "TableAgeMillis", "TableAnswers", });
+        new java.lang.String[] { "Receiver", "ConfigurationVersion", "WithdrawnKeys", "Replicas", "WithdrawnDigest", "TableAgeMillis", "TableAnswers", "StoppingAgents", });
     internal_static_celerywalk_v1_ConfigurationRequest_descriptor =
       getDescriptor().getMessageTypes().get(18);
     internal_static_celerywalk_v1_ConfigurationRequest_fieldAccessorTable = new
--- a/protocol/src/main/java/org/celerywalk/protocol/ExchangeReply.java
+++ b/protocol/src/main/java/org/celerywalk/protocol/ExchangeReply.java
@@ -20,6 +20,8 @@
     withdrawnKeys_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
     replicas_ = java.util.Collections.emptyList();
+    stoppingAgents_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   @java.lang.Override
@@ -227,6 +229,59 @@
     return tableAnswers_;
   }
 
+  public static final int STOPPING_AGENTS_FIELD_NUMBER = 8;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList stoppingAgents_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * Incarnations of agents that have told the receiver that they stop, at most 64.
+   * </pre>
+   *
+   * <code>repeated string stopping_agents = 8;</code>
+   * @return A list containing the stoppingAgents.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getStoppingAgentsList() {
+    return stoppingAgents_;
+  }
+  /**
+   * <pre>
+   * Incarnations of agents that have told the receiver that they stop, at most 64.
+   * </pre>
+   *
+   * <code>repeated string stopping_agents = 8;</code>
+   * @return The count of stoppingAgents.
+   */
+  public int getStoppingAgentsCount() {
+    return stoppingAgents_.size();
+  }
+  /**
+   * <pre>
+   * Incarnations of agents that have told the receiver that they stop, at most 64.
+   * </pre>
+   *
+   * <code>repeated string stopping_agents = 8;</code>
+   * @param index The index of the element to return.
+   * @return The stoppingAgents at the given index.
+   */
+  public java.lang.String getStoppingAgents(int index) {
+    return stoppingAgents_.get(index);
+  }
+  /**
+   * <pre>
+   * Incarnations of agents that have told the receiver that they stop, at most 64.
+   * </pre>
+   *
+   * <code>repeated string stopping_agents = 8;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the stoppingAgents at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getStoppingAgentsBytes(int index) {
+    return stoppingAgents_.getByteString(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -262,6 +317,9 @@
     if (tableAnswers_ != false) {
       output.writeBool(7, tableAnswers_);
     }
+    for (int i = 0; i < stoppingAgents_.size(); i++) {
+      com.google.protobuf.GeneratedMessageV3.writeString(output, 8, stoppingAgents_.getRaw(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -303,6 +361,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(7, tableAnswers_);
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < stoppingAgents_.size(); i++) {
+        dataSize += computeStringSizeNoTag(stoppingAgents_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getStoppingAgentsList().size();
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -338,6 +404,8 @@
     }
     if (getTableAnswers()
         != other.getTableAnswers()) return false;
+    if (!getStoppingAgentsList()
+        .equals(other.getStoppingAgentsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -375,6 +443,10 @@
     hash = (37 * hash) + TABLE_ANSWERS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getTableAnswers());
+    if (getStoppingAgentsCount() > 0) {
+      hash = (37 * hash) + STOPPING_AGENTS_FIELD_NUMBER;
+      hash = (53 * hash) + getStoppingAgentsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -531,6 +603,8 @@
       withdrawnDigest_ = 0L;
       tableAgeMillis_ = 0L;
       tableAnswers_ = false;
+      stoppingAgents_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
@@ -601,6 +675,10 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.tableAnswers_ = tableAnswers_;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        stoppingAgents_.makeImmutable();
+        result.stoppingAgents_ = stoppingAgents_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -699,6 +777,16 @@
       if (other.getTableAnswers() != false) {
         setTableAnswers(other.getTableAnswers());
       }
+      if (!other.stoppingAgents_.isEmpty()) {
+        if (stoppingAgents_.isEmpty()) {
+          stoppingAgents_ = other.stoppingAgents_;
+          bitField0_ |= 0x00000080;
+        } else {
+          ensureStoppingAgentsIsMutable();
+          stoppingAgents_.addAll(other.stoppingAgents_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -771,6 +859,12 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 56
+            case 66: {
+              java.lang.String s = input.readStringRequireUtf8();
+              ensureStoppingAgentsIsMutable();
+              stoppingAgents_.add(s);
+              break;
+            } // case 66
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1459,6 +1553,153 @@
       onChanged();
       return this;
     }
+
+    private com.google.protobuf.LazyStringArrayList stoppingAgents_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureStoppingAgentsIsMutable() {
+      if (!stoppingAgents_.isModifiable()) {
+        stoppingAgents_ = new com.google.protobuf.LazyStringArrayList(stoppingAgents_);
+      }
+      bitField0_ |= 0x00000080;
+    }
+    /**
+     * <pre>
+     * Incarnations of agents that have told the receiver that they stop, at most 64.
+     * </pre>
+     *
+     * <code>repeated string stopping_agents = 8;</code>
+     * @return A list containing the stoppingAgents.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getStoppingAgentsList() {
+      stoppingAgents_.makeImmutable();
+      return stoppingAgents_;
+    }
+    /**
+     * <pre>
+     * Incarnations of agents that have told the receiver that they stop, at most 64.
+     * </pre>
+     *
+     * <code>repeated string stopping_agents = 8;</code>
+     * @return The count of stoppingAgents.
+     */
+    public int getStoppingAgentsCount() {
+      return stoppingAgents_.size();
+    }
+    /**
+     * <pre>
+     * Incarnations of agents that have told the receiver that they stop, at most 64.
+     * </pre>
+     *
+     * <code>repeated string stopping_agents = 8;</code>
+     * @param index The index of the element to return.
+     * @return The stoppingAgents at the given index.
+     */
+    public java.lang.String getStoppingAgents(int index) {
+      return stoppingAgents_.get(index);
+    }
+    /**
+     * <pre>
+     * Incarnations of agents that have told the receiver that they stop, at most 64.
+     * </pre>
+     *
+     * <code>repeated string stopping_agents = 8;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the stoppingAgents at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getStoppingAgentsBytes(int index) {
+      return stoppingAgents_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * Incarnations of agents that have told the receiver that they stop, at most 64.
+     * </pre>
+     *
+     * <code>repeated string stopping_agents = 8;</code>
+     * @param index The index to set the value at.
+     * @param value The stoppingAgents to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStoppingAgents(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureStoppingAgentsIsMutable();
+      stoppingAgents_.set(index, value);
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Incarnations of agents that have told the receiver that they stop, at most 64.
+     * </pre>
+     *
+     * <code>repeated string stopping_agents = 8;</code>
+     * @param value The stoppingAgents to add.
+     * @return This builder for chaining.
+     */
+    public Builder addStoppingAgents(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureStoppingAgentsIsMutable();
+      stoppingAgents_.add(value);
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Incarnations of agents that have told the receiver that they stop, at most 64.
+     * </pre>
+     *
+     * <code>repeated string stopping_agents = 8;</code>
+     * @param values The stoppingAgents to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllStoppingAgents(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureStoppingAgentsIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, stoppingAgents_);
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Incarnations of agents that have told the receiver that they stop, at most 64.
+     * </pre>
+     *
+     * <code>repeated string stopping_agents = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStoppingAgents() {
+      stoppingAgents_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000080);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Incarnations of agents that have told the receiver that they stop, at most 64.
+     * </pre>
+     *
+     * <code>repeated string stopping_agents = 8;</code>
+     * @param value The bytes of the stoppingAgents to add.
+     * @return This builder for chaining.
+     */
+    public Builder addStoppingAgentsBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      ensureStoppingAgentsIsMutable();
+      stoppingAgents_.add(value);
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/protocol/src/main/java/org/celerywalk/protocol/ExchangeReplyOrBuilder.java
+++ b/protocol/src/main/java/org/celerywalk/protocol/ExchangeReplyOrBuilder.java
@@ -128,4 +128,45 @@
    * @return The tableAnswers.
    */
   boolean getTableAnswers();
+
+  /**
+   * <pre>
+   * Incarnations of agents that have told the receiver that they stop, at most 64.
+   * </pre>
+   *
+   * <code>repeated string stopping_agents = 8;</code>
+   * @return A list containing the stoppingAgents.
+   */
+  java.util.List<java.lang.String>
+      getStoppingAgentsList();
+  /**
+   * <pre>
+   * Incarnations of agents that have told the receiver that they stop, at most 64.
+   * </pre>
+   *
+   * <code>repeated string stopping_agents = 8;</code>
+   * @return The count of stoppingAgents.
+   */
+  int getStoppingAgentsCount();
+  /**
+   * <pre>
+   * Incarnations of agents that have told the receiver that they stop, at most 64.
+   * </pre>
+   *
+   * <code>repeated string stopping_agents = 8;</code>
+   * @param index The index of the element to return.
+   * @return The stoppingAgents at the given index.
+   */
+  java.lang.String getStoppingAgents(int index);
+  /**
+   * <pre>
+   * Incarnations of agents that have told the receiver that they stop, at most 64.
+   * </pre>
+   *
+   * <code>repeated string stopping_agents = 8;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the stoppingAgents at the given index.
+   */
+  com.google.protobuf.ByteString
+      getStoppingAgentsBytes(int index);
 }
--- a/protocol/src/main/java/org/celerywalk/protocol/ExchangeRequest.java
+++ b/protocol/src/main/java/org/celerywalk/protocol/ExchangeRequest.java
@@ -23,6 +23,8 @@
   private ExchangeRequest() {
     withdrawnKeys_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
+    stoppingAgents_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   @java.lang.Override
@@ -162,6 +164,59 @@
     return withdrawnKeys_.getByteString(index);
   }
 
+  public static final int STOPPING_AGENTS_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList stoppingAgents_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * Incarnations of agents that have told the sender that they stop, at most 64; a stopping agent adds its own.
+   * </pre>
+   *
+   * <code>repeated string stopping_agents = 6;</code>
+   * @return A list containing the stoppingAgents.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getStoppingAgentsList() {
+    return stoppingAgents_;
+  }
+  /**
+   * <pre>
+   * Incarnations of agents that have told the sender that they stop, at most 64; a stopping agent adds its own.
+   * </pre>
+   *
+   * <code>repeated string stopping_agents = 6;</code>
+   * @return The count of stoppingAgents.
+   */
+  public int getStoppingAgentsCount() {
+    return stoppingAgents_.size();
+  }
+  /**
+   * <pre>
+   * Incarnations of agents that have told the sender that they stop, at most 64; a stopping agent adds its own.
+   * </pre>
+   *
+   * <code>repeated string stopping_agents = 6;</code>
+   * @param index The index of the element to return.
+   * @return The stoppingAgents at the given index.
+   */
+  public java.lang.String getStoppingAgents(int index) {
+    return stoppingAgents_.get(index);
+  }
+  /**
+   * <pre>
+   * Incarnations of agents that have told the sender that they stop, at most 64; a stopping agent adds its own.
+   * </pre>
+   *
+   * <code>repeated string stopping_agents = 6;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the stoppingAgents at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getStoppingAgentsBytes(int index) {
+    return stoppingAgents_.getByteString(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -191,6 +246,9 @@
     for (int i = 0; i < withdrawnKeys_.size(); i++) {
       com.google.protobuf.GeneratedMessageV3.writeString(output, 5, withdrawnKeys_.getRaw(i));
     }
+    for (int i = 0; i < stoppingAgents_.size(); i++) {
+      com.google.protobuf.GeneratedMessageV3.writeString(output, 6, stoppingAgents_.getRaw(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -224,6 +282,14 @@
       size += dataSize;
       size += 1 * getWithdrawnKeysList().size();
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < stoppingAgents_.size(); i++) {
+        dataSize += computeStringSizeNoTag(stoppingAgents_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getStoppingAgentsList().size();
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -252,6 +318,8 @@
         != other.getWithdrawnCount()) return false;
     if (!getWithdrawnKeysList()
         .equals(other.getWithdrawnKeysList())) return false;
+    if (!getStoppingAgentsList()
+        .equals(other.getStoppingAgentsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -279,6 +347,10 @@
       hash = (37 * hash) + WITHDRAWN_KEYS_FIELD_NUMBER;
       hash = (53 * hash) + getWithdrawnKeysList().hashCode();
     }
+    if (getStoppingAgentsCount() > 0) {
+      hash = (37 * hash) + STOPPING_AGENTS_FIELD_NUMBER;
+      hash = (53 * hash) + getStoppingAgentsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -430,6 +502,8 @@
       withdrawnCount_ = 0;
       withdrawnKeys_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
+      stoppingAgents_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
@@ -483,6 +557,10 @@
         withdrawnKeys_.makeImmutable();
         result.withdrawnKeys_ = withdrawnKeys_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        stoppingAgents_.makeImmutable();
+        result.stoppingAgents_ = stoppingAgents_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -552,6 +630,16 @@
         }
         onChanged();
       }
+      if (!other.stoppingAgents_.isEmpty()) {
+        if (stoppingAgents_.isEmpty()) {
+          stoppingAgents_ = other.stoppingAgents_;
+          bitField0_ |= 0x00000020;
+        } else {
+          ensureStoppingAgentsIsMutable();
+          stoppingAgents_.addAll(other.stoppingAgents_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -606,6 +694,12 @@
               withdrawnKeys_.add(s);
               break;
             } // case 42
+            case 50: {
+              java.lang.String s = input.readStringRequireUtf8();
+              ensureStoppingAgentsIsMutable();
+              stoppingAgents_.add(s);
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -998,6 +1092,153 @@
       onChanged();
       return this;
     }
+
+    private com.google.protobuf.LazyStringArrayList stoppingAgents_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureStoppingAgentsIsMutable() {
+      if (!stoppingAgents_.isModifiable()) {
+        stoppingAgents_ = new com.google.protobuf.LazyStringArrayList(stoppingAgents_);
+      }
+      bitField0_ |= 0x00000020;
+    }
+    /**
+     * <pre>
+     * Incarnations of agents that have told the sender that they stop, at most 64; a stopping agent adds its own.
+     * </pre>
+     *
+     * <code>repeated string stopping_agents = 6;</code>
+     * @return A list containing the stoppingAgents.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getStoppingAgentsList() {
+      stoppingAgents_.makeImmutable();
+      return stoppingAgents_;
+    }
+    /**
+     * <pre>
+     * Incarnations of agents that have told the sender that they stop, at most 64; a stopping agent adds its own.
+     * </pre>
+     *
+     * <code>repeated string stopping_agents = 6;</code>
+     * @return The count of stoppingAgents.
+     */
+    public int getStoppingAgentsCount() {
+      return stoppingAgents_.size();
+    }
+    /**
+     * <pre>
+     * Incarnations of agents that have told the sender that they stop, at most 64; a stopping agent adds its own.
+     * </pre>
+     *
+     * <code>repeated string stopping_agents = 6;</code>
+     * @param index The index of the element to return.
+     * @return The stoppingAgents at the given index.
+     */
+    public java.lang.String getStoppingAgents(int index) {
+      return stoppingAgents_.get(index);
+    }
+    /**
+     * <pre>
+     * Incarnations of agents that have told the sender that they stop, at most 64; a stopping agent adds its own.
+     * </pre>
+     *
+     * <code>repeated string stopping_agents = 6;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the stoppingAgents at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getStoppingAgentsBytes(int index) {
+      return stoppingAgents_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * Incarnations of agents that have told the sender that they stop, at most 64; a stopping agent adds its own.
+     * </pre>
+     *
+     * <code>repeated string stopping_agents = 6;</code>
+     * @param index The index to set the value at.
+     * @param value The stoppingAgents to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStoppingAgents(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureStoppingAgentsIsMutable();
+      stoppingAgents_.set(index, value);
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Incarnations of agents that have told the sender that they stop, at most 64; a stopping agent adds its own.
+     * </pre>
+     *
+     * <code>repeated string stopping_agents = 6;</code>
+     * @param value The stoppingAgents to add.
+     * @return This builder for chaining.
+     */
+    public Builder addStoppingAgents(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureStoppingAgentsIsMutable();
+      stoppingAgents_.add(value);
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Incarnations of agents that have told the sender that they stop, at most 64; a stopping agent adds its own.
+     * </pre>
+     *
+     * <code>repeated string stopping_agents = 6;</code>
+     * @param values The stoppingAgents to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllStoppingAgents(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureStoppingAgentsIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, stoppingAgents_);
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Incarnations of agents that have told the sender that they stop, at most 64; a stopping agent adds its own.
+     * </pre>
+     *
+     * <code>repeated string stopping_agents = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStoppingAgents() {
+      stoppingAgents_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000020);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Incarnations of agents that have told the sender that they stop, at most 64; a stopping agent adds its own.
+     * </pre>
+     *
+     * <code>repeated string stopping_agents = 6;</code>
+     * @param value The bytes of the stoppingAgents to add.
+     * @return This builder for chaining.
+     */
+    public Builder addStoppingAgentsBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      ensureStoppingAgentsIsMutable();
+      stoppingAgents_.add(value);
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/protocol/src/main/java/org/celerywalk/protocol/ExchangeRequestOrBuilder.java
+++ b/protocol/src/main/java/org/celerywalk/protocol/ExchangeRequestOrBuilder.java
@@ -85,4 +85,45 @@
    */
   com.google.protobuf.ByteString
       getWithdrawnKeysBytes(int index);
+
+  /**
+   * <pre>
+   * Incarnations of agents that have told the sender that they stop, at most 64; a stopping agent adds its own.
+   * </pre>
+   *
+   * <code>repeated string stopping_agents = 6;</code>
+   * @return A list containing the stoppingAgents.
+   */
+  java.util.List<java.lang.String>
+      getStoppingAgentsList();
+  /**
+   * <pre>
+   * Incarnations of agents that have told the sender that they stop, at most 64; a stopping agent adds its own.
+   * </pre>
+   *
+   * <code>repeated string stopping_agents = 6;</code>
+   * @return The count of stoppingAgents.
+   */
+  int getStoppingAgentsCount();
+  /**
+   * <pre>
+   * Incarnations of agents that have told the sender that they stop, at most 64; a stopping agent adds its own.
+   * </pre>
+   *
+   * <code>repeated string stopping_agents = 6;</code>
+   * @param index The index of the element to return.
+   * @return The stoppingAgents at the given index.
+   */
+  java.lang.String getStoppingAgents(int index);
+  /**
+   * <pre>
+   * Incarnations of agents that have told the sender that they stop, at most 64; a stopping agent adds its own.
+   * </pre>
+   *
+   * <code>repeated string stopping_agents = 6;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the stoppingAgents at the given index.
+   */
+  com.google.protobuf.ByteString
+      getStoppingAgentsBytes(int index);
 }
--- a/protocol/src/main/java/org/celerywalk/protocol/GenerateEvent.java
+++ b/protocol/src/main/java/org/celerywalk/protocol/GenerateEvent.java
@@ -249,6 +249,21 @@
     return org.celerywalk.protocol.GenerateRefused.getDefaultInstance();
   }
 
+  public static final int AGENT_STOPPING_FIELD_NUMBER = 6;
+  private boolean agentStopping_ = false;
+  /**
+   * <pre>
+   * True if the agent's process stops; see HelloReply.
+   * </pre>
+   *
+   * <code>bool agent_stopping = 6;</code>
+   * @return The agentStopping.
+   */
+  @java.lang.Override
+  public boolean getAgentStopping() {
+    return agentStopping_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -278,6 +293,9 @@
     if (eventCase_ == 5) {
       output.writeMessage(5, (org.celerywalk.protocol.GenerateRefused) event_);
     }
+    if (agentStopping_ != false) {
+      output.writeBool(6, agentStopping_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -306,6 +324,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(5, (org.celerywalk.protocol.GenerateRefused) event_);
     }
+    if (agentStopping_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(6, agentStopping_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -323,6 +345,8 @@
 
     if (!getAttemptId()
         .equals(other.getAttemptId())) return false;
+    if (getAgentStopping()
+        != other.getAgentStopping()) return false;
     if (!getEventCase().equals(other.getEventCase())) return false;
     switch (eventCase_) {
       case 2:
@@ -357,6 +381,9 @@
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + ATTEMPT_ID_FIELD_NUMBER;
     hash = (53 * hash) + getAttemptId().hashCode();
+    hash = (37 * hash) + AGENT_STOPPING_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getAgentStopping());
     switch (eventCase_) {
       case 2:
         hash = (37 * hash) + STARTED_FIELD_NUMBER;
@@ -521,6 +548,7 @@
       if (refusedBuilder_ != null) {
         refusedBuilder_.clear();
       }
+      agentStopping_ = false;
       eventCase_ = 0;
       event_ = null;
       return this;
@@ -560,6 +588,9 @@
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.attemptId_ = attemptId_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.agentStopping_ = agentStopping_;
+      }
     }
 
     private void buildPartialOneofs(org.celerywalk.protocol.GenerateEvent result) {
@@ -632,6 +663,9 @@
         bitField0_ |= 0x00000001;
         onChanged();
       }
+      if (other.getAgentStopping() != false) {
+        setAgentStopping(other.getAgentStopping());
+      }
       switch (other.getEventCase()) {
         case STARTED: {
           mergeStarted(other.getStarted());
@@ -712,6 +746,11 @@
               eventCase_ = 5;
               break;
             } // case 42
+            case 48: {
+              agentStopping_ = input.readBool();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1383,6 +1422,50 @@
       onChanged();
       return refusedBuilder_;
     }
+
+    private boolean agentStopping_ ;
+    /**
+     * <pre>
+     * True if the agent's process stops; see HelloReply.
+     * </pre>
+     *
+     * <code>bool agent_stopping = 6;</code>
+     * @return The agentStopping.
+     */
+    @java.lang.Override
+    public boolean getAgentStopping() {
+      return agentStopping_;
+    }
+    /**
+     * <pre>
+     * True if the agent's process stops; see HelloReply.
+     * </pre>
+     *
+     * <code>bool agent_stopping = 6;</code>
+     * @param value The agentStopping to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAgentStopping(boolean value) {
+
+      agentStopping_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * True if the agent's process stops; see HelloReply.
+     * </pre>
+     *
+     * <code>bool agent_stopping = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAgentStopping() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      agentStopping_ = false;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/protocol/src/main/java/org/celerywalk/protocol/GenerateEventOrBuilder.java
+++ b/protocol/src/main/java/org/celerywalk/protocol/GenerateEventOrBuilder.java
@@ -80,5 +80,15 @@
    */
   org.celerywalk.protocol.GenerateRefusedOrBuilder getRefusedOrBuilder();
 
+  /**
+   * <pre>
+   * True if the agent's process stops; see HelloReply.
+   * </pre>
+   *
+   * <code>bool agent_stopping = 6;</code>
+   * @return The agentStopping.
+   */
+  boolean getAgentStopping();
+
   org.celerywalk.protocol.GenerateEvent.EventCase getEventCase();
 }
--- a/protocol/src/main/java/org/celerywalk/protocol/HelloReply.java
+++ b/protocol/src/main/java/org/celerywalk/protocol/HelloReply.java
@@ -119,6 +119,21 @@
     return replicas_.get(index);
   }
 
+  public static final int STOPPING_FIELD_NUMBER = 4;
+  private boolean stopping_ = false;
+  /**
+   * <pre>
+   * True if the agent's process stops. It takes no new work until its next start, which has another incarnation.
+   * </pre>
+   *
+   * <code>bool stopping = 4;</code>
+   * @return The stopping.
+   */
+  @java.lang.Override
+  public boolean getStopping() {
+    return stopping_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -142,6 +157,9 @@
     for (int i = 0; i < replicas_.size(); i++) {
       output.writeMessage(3, replicas_.get(i));
     }
+    if (stopping_ != false) {
+      output.writeBool(4, stopping_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -163,6 +181,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(3, replicas_.get(i));
     }
+    if (stopping_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(4, stopping_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -187,6 +209,8 @@
     }
     if (!getReplicasList()
         .equals(other.getReplicasList())) return false;
+    if (getStopping()
+        != other.getStopping()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -208,6 +232,9 @@
       hash = (37 * hash) + REPLICAS_FIELD_NUMBER;
       hash = (53 * hash) + getReplicasList().hashCode();
     }
+    hash = (37 * hash) + STOPPING_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getStopping());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -359,6 +386,7 @@
         replicasBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000004);
+      stopping_ = false;
       return this;
     }
 
@@ -415,6 +443,9 @@
             : receiverBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.stopping_ = stopping_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -494,6 +525,9 @@
           }
         }
       }
+      if (other.getStopping() != false) {
+        setStopping(other.getStopping());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -545,6 +579,11 @@
               }
               break;
             } // case 26
+            case 32: {
+              stopping_ = input.readBool();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -954,6 +993,50 @@
       }
       return replicasBuilder_;
     }
+
+    private boolean stopping_ ;
+    /**
+     * <pre>
+     * True if the agent's process stops. It takes no new work until its next start, which has another incarnation.
+     * </pre>
+     *
+     * <code>bool stopping = 4;</code>
+     * @return The stopping.
+     */
+    @java.lang.Override
+    public boolean getStopping() {
+      return stopping_;
+    }
+    /**
+     * <pre>
+     * True if the agent's process stops. It takes no new work until its next start, which has another incarnation.
+     * </pre>
+     *
+     * <code>bool stopping = 4;</code>
+     * @param value The stopping to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStopping(boolean value) {
+
+      stopping_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * True if the agent's process stops. It takes no new work until its next start, which has another incarnation.
+     * </pre>
+     *
+     * <code>bool stopping = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStopping() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      stopping_ = false;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/protocol/src/main/java/org/celerywalk/protocol/HelloReplyOrBuilder.java
+++ b/protocol/src/main/java/org/celerywalk/protocol/HelloReplyOrBuilder.java
@@ -52,4 +52,14 @@
    */
   org.celerywalk.protocol.ReplicaSummaryOrBuilder getReplicasOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * True if the agent's process stops. It takes no new work until its next start, which has another incarnation.
+   * </pre>
+   *
+   * <code>bool stopping = 4;</code>
+   * @return The stopping.
+   */
+  boolean getStopping();
 }
--- a/protocol/src/main/java/org/celerywalk/protocol/ServiceReply.java
+++ b/protocol/src/main/java/org/celerywalk/protocol/ServiceReply.java
@@ -273,6 +273,21 @@
     return retryAfterMillis_;
   }
 
+  public static final int AGENT_STOPPING_FIELD_NUMBER = 10;
+  private boolean agentStopping_ = false;
+  /**
+   * <pre>
+   * True if the agent's process stops; see HelloReply.
+   * </pre>
+   *
+   * <code>bool agent_stopping = 10;</code>
+   * @return The agentStopping.
+   */
+  @java.lang.Override
+  public boolean getAgentStopping() {
+    return agentStopping_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -314,6 +329,9 @@
     if (retryAfterMillis_ != 0L) {
       output.writeInt64(9, retryAfterMillis_);
     }
+    if (agentStopping_ != false) {
+      output.writeBool(10, agentStopping_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -356,6 +374,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(9, retryAfterMillis_);
     }
+    if (agentStopping_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(10, agentStopping_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -388,6 +410,8 @@
         .equals(other.getMessage())) return false;
     if (getRetryAfterMillis()
         != other.getRetryAfterMillis()) return false;
+    if (getAgentStopping()
+        != other.getAgentStopping()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -421,6 +445,9 @@
     hash = (37 * hash) + RETRY_AFTER_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getRetryAfterMillis());
+    hash = (37 * hash) + AGENT_STOPPING_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getAgentStopping());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -567,6 +594,7 @@
       code_ = "";
       message_ = "";
       retryAfterMillis_ = 0L;
+      agentStopping_ = false;
       return this;
     }
 
@@ -637,6 +665,9 @@
       if (((from_bitField0_ & 0x00000100) != 0)) {
         result.retryAfterMillis_ = retryAfterMillis_;
       }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.agentStopping_ = agentStopping_;
+      }
     }
 
     @java.lang.Override
@@ -739,6 +770,9 @@
       if (other.getRetryAfterMillis() != 0L) {
         setRetryAfterMillis(other.getRetryAfterMillis());
       }
+      if (other.getAgentStopping() != false) {
+        setAgentStopping(other.getAgentStopping());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -818,6 +852,11 @@
               bitField0_ |= 0x00000100;
               break;
             } // case 72
+            case 80: {
+              agentStopping_ = input.readBool();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1495,6 +1534,50 @@
       onChanged();
       return this;
     }
+
+    private boolean agentStopping_ ;
+    /**
+     * <pre>
+     * True if the agent's process stops; see HelloReply.
+     * </pre>
+     *
+     * <code>bool agent_stopping = 10;</code>
+     * @return The agentStopping.
+     */
+    @java.lang.Override
+    public boolean getAgentStopping() {
+      return agentStopping_;
+    }
+    /**
+     * <pre>
+     * True if the agent's process stops; see HelloReply.
+     * </pre>
+     *
+     * <code>bool agent_stopping = 10;</code>
+     * @param value The agentStopping to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAgentStopping(boolean value) {
+
+      agentStopping_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * True if the agent's process stops; see HelloReply.
+     * </pre>
+     *
+     * <code>bool agent_stopping = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAgentStopping() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      agentStopping_ = false;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/protocol/src/main/java/org/celerywalk/protocol/ServiceReplyOrBuilder.java
+++ b/protocol/src/main/java/org/celerywalk/protocol/ServiceReplyOrBuilder.java
@@ -110,4 +110,14 @@
    * @return The retryAfterMillis.
    */
   long getRetryAfterMillis();
+
+  /**
+   * <pre>
+   * True if the agent's process stops; see HelloReply.
+   * </pre>
+   *
+   * <code>bool agent_stopping = 10;</code>
+   * @return The agentStopping.
+   */
+  boolean getAgentStopping();
 }
--- a/runtime/src/main/kotlin/org/celerywalk/sync/ConfigurationSync.kt
+++ b/runtime/src/main/kotlin/org/celerywalk/sync/ConfigurationSync.kt
@@ -2,6 +2,7 @@
 
 import org.celerywalk.configuration.Configuration
 import org.celerywalk.configuration.SnapshotStore
+import org.celerywalk.endpoint.EndpointNotices
 import org.celerywalk.instance.ProcessIdentity
 import org.celerywalk.key.WithdrawnKeys
 import org.celerywalk.key.WithdrawnKeysFreshness
@@ -48,6 +49,9 @@
     /** Keys that were withdrawn outside the configuration. */
     public val withdrawnKeys: WithdrawnKeys = WithdrawnKeys()
 
+    /** Agents that have stated that they stop. */
+    public val endpointNotices: EndpointNotices = EndpointNotices(TimeSource.Monotonic)
+
     @Volatile
     private var replyListener: (ExchangeReply) -> Unit = {}
 
@@ -68,6 +72,7 @@
             executor = executor,
             wallClock = System::currentTimeMillis,
             report = { Logger.warn(it) },
+            endpointNotices = endpointNotices,
         ),
     )
 
--- a/runtime/src/main/kotlin/org/celerywalk/sync/GrpcPeerClient.kt
+++ b/runtime/src/main/kotlin/org/celerywalk/sync/GrpcPeerClient.kt
@@ -40,6 +40,7 @@
             .setWithdrawnDigest(query.withdrawnDigest)
             .setWithdrawnCount(query.withdrawnKeyIds.size)
             .addAllWithdrawnKeys(query.withdrawnKeyIds)
+            .addAllStoppingAgents(query.stoppingAgents)
             .build()
         return callPeer(address, "exchange", PeerMethods.EXCHANGE, request) { reply ->
             onReply(reply)
@@ -50,6 +51,7 @@
                 withdrawnKeyIds = reply.withdrawnKeysList.toSet(),
                 tableAge = if (reply.hasTableAgeMillis()) reply.tableAgeMillis.milliseconds else null,
                 isTableReachable = reply.tableAnswers,
+                stoppingAgents = reply.stoppingAgentsList.toSet(),
             )
         }
     }
--- a/runtime/src/main/kotlin/org/celerywalk/sync/PeerService.kt
+++ b/runtime/src/main/kotlin/org/celerywalk/sync/PeerService.kt
@@ -50,6 +50,7 @@
                 version = request.configurationVersion,
                 withdrawnDigest = request.withdrawnDigest,
                 withdrawnKeyIds = request.withdrawnKeysList.toSet(),
+                stoppingAgents = request.stoppingAgentsList.toSet(),
             ),
         )
         val reply = ExchangeReply.newBuilder()
@@ -59,6 +60,7 @@
             .addAllWithdrawnKeys(response.withdrawnKeyIds)
             .setTableAnswers(response.isTableReachable)
             .addAllReplicas(replicas())
+            .addAllStoppingAgents(response.stoppingAgents)
         response.tableAge?.let { reply.setTableAgeMillis(it.inWholeMilliseconds + 1) }
         return CompletableFuture.completedFuture(reply.build())
     }
