Prefer replicas whose queue was not full for the account

Cause: an entry forgot a refusal `queue_full` with its request; the next requests of the client account went to the same replica first. `FullQueueTest` on the code before: "expected: <[1, 10]> but was: <[10, 10]>".

Change: the entry keeps the refusal until its retry time, for the agent's incarnation, the replica and the account. Such replicas are tried after the others.

Tried and left: refusing at once while all queues are full.

Measured: all tests of the entry and `AgentDaemonTest` pass.

--- a/agent/src/main/kotlin/org/celerywalk/agent/GenerationHandler.kt
+++ b/agent/src/main/kotlin/org/celerywalk/agent/GenerationHandler.kt
@@ -6,6 +6,7 @@
 import org.celerywalk.protocol.GenerateEvent
 import org.celerywalk.protocol.GenerateRequest
 import org.celerywalk.routing.QueuedWork
+import org.celerywalk.stream.StreamEvent
 import java.util.concurrent.ConcurrentHashMap
 
 /** Admits attempts to the replicas' queues and tracks those that have not ended. */
@@ -53,7 +54,7 @@
             activeGenerations.remove(generation)
             val retryAfterMillis = queueFull.retryAfter.inWholeMilliseconds
             sink.finish(
-                Refusal("queue_full", queueFull.message, retryAfterMillis = retryAfterMillis)
+                Refusal(StreamEvent.Refused.QUEUE_FULL, queueFull.message, retryAfterMillis = retryAfterMillis)
                     .toEvent(replica.summary(true)),
             )
         }
--- a/entry/src/main/kotlin/org/celerywalk/entry/EntryComponents.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/EntryComponents.kt
@@ -41,9 +41,9 @@
 ) : StatusPages {
     private val configuration = dependencies.configuration::current
     private val metrics = EntryMetrics()
-    private val endpoints = EndpointRegistry(AgentNotices(dependencies.endpointNotices)) { address ->
-        openChannel(address, settings.process.secret, callExecutor)
-    }
+    private val endpoints = EndpointRegistry(
+        AgentNotices(dependencies.endpointNotices, dependencies.timeSource),
+    ) { address -> openChannel(address, settings.process.secret, callExecutor) }
     private val helloPoller = HelloPoller(endpoints, identity, dependencies.timeSource)
     private val authenticator = RequestAuthenticator(
         KeyHasher(settings.process.pepper),
--- a/entry/src/main/kotlin/org/celerywalk/entry/chat/Relay.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/chat/Relay.kt
@@ -134,6 +134,7 @@
     private fun onRefused(attempt: Attempt, event: StreamEvent.Refused) {
         if (attempt !== attempts.current || hasEnded) return
         quarantine.recordRefusal(attempt.target, event, hasForwardedText)
+        replicaSelector.recordRefusal(attempt.target, event)
         takeStep(stream.handleEvent(attempt.id, event))
     }
 
--- a/entry/src/main/kotlin/org/celerywalk/entry/chat/ReplicaSelector.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/chat/ReplicaSelector.kt
@@ -2,10 +2,12 @@
 
 import org.celerywalk.cache.PieceNames
 import org.celerywalk.endpoint.ReplicaSummary
+import org.celerywalk.entry.agents.AccountQueue
 import org.celerywalk.entry.agents.AgentClient
 import org.celerywalk.entry.agents.EndpointRegistry
 import org.celerywalk.routing.EndpointChooser
 import org.celerywalk.routing.RoutingRequest
+import org.celerywalk.stream.StreamEvent
 
 /** Selects replicas for the attempts of generations. */
 internal class ReplicaSelector(
@@ -14,7 +16,8 @@
 ) {
     /**
      * Selects the best replica that is not in [triedReplicas] and acquires a wait slot at its agent; returns null if
-     * there is none with a free slot.
+     * there is none with a free slot. Replicas whose queue for the client account was full
+     * come last; a request that is smaller than the refused one may still fit.
      *
      * @param weights weights of the answer so far, or null if it has no tokens yet. Then the configured weights are
      * preferred, and while no replica has loaded them, any other loaded weights are used.
@@ -33,12 +36,22 @@
         val usableWeights = weights?.let(::listOf) ?: (listOf(generation.model.weights) + loadedWeights).distinct()
         return usableWeights.firstNotNullOfOrNull { version ->
             val routingRequest = buildRoutingRequest(generation, version)
-            val ordered = redirectTargets(candidates, version, redirect) +
-                endpointChooser.choose(routingRequest, candidates)
+            val redirectTargets = candidates.filter { it.endpoint == redirect && it.weights == version }
+            val ordered = redirectTargets + chooseReplicas(routingRequest, candidates)
             ordered.firstNotNullOfOrNull { acquireSlot(routingRequest, it) }
         }
     }
 
+    /** Records a refusal of [target]; a full queue is full for all requests of its client account. */
+    fun recordRefusal(target: SelectedReplica, refusal: StreamEvent.Refused) {
+        val duration = refusal.retryAfter?.takeIf { refusal.code == StreamEvent.Refused.QUEUE_FULL } ?: return
+        val clientAccount = target.routingRequest.clientAccount
+        endpoints.notices.recordFull(
+            AccountQueue(target.agentIncarnation, target.replica.replica, clientAccount),
+            duration,
+        )
+    }
+
     /** Records that the agent of [target] has stated that it stops; the attempts that it runs go on. */
     fun recordStopping(target: SelectedReplica) =
         endpoints.notices.recordStopping(target.replica.endpoint, target.agentIncarnation)
@@ -50,8 +63,16 @@
 
     fun recordEnd(target: SelectedReplica) = endpointChooser.recordEnd(target.routingRequest, target.replica)
 
-    private fun redirectTargets(replicas: List<ReplicaSummary>, weights: String, redirect: String?) =
-        replicas.filter { it.endpoint == redirect && it.weights == weights }
+    // The chooser returns the few best replicas only, which may all have a full queue.
+    private fun chooseReplicas(request: RoutingRequest, candidates: List<ReplicaSummary>): List<ReplicaSummary> {
+        val (full, free) = candidates.partition { isFull(request, it) }
+        return endpointChooser.choose(request, free) + endpointChooser.choose(request, full)
+    }
+
+    private fun isFull(request: RoutingRequest, replica: ReplicaSummary): Boolean {
+        val incarnation = endpoints.client(replica.endpoint)?.incarnation ?: return false
+        return endpoints.notices.isFull(AccountQueue(incarnation, replica.replica, request.clientAccount))
+    }
 
     private fun acquireSlot(request: RoutingRequest, replica: ReplicaSummary): SelectedReplica? {
         val client = endpoints.client(replica.endpoint)
--- a/library/src/main/kotlin/org/celerywalk/stream/StreamEvent.kt
+++ b/library/src/main/kotlin/org/celerywalk/stream/StreamEvent.kt
@@ -33,6 +33,9 @@
         public companion object {
             /** Code of an agent whose engine ended under the attempt, before the first token and unplanned. */
             public const val ENGINE_CRASHED: String = "engine_crashed"
+
+            /** Code of an agent whose queue for the request's client account has no room for the request. */
+            public const val QUEUE_FULL: String = "queue_full"
         }
     }
 }
