Count messages to peers from a random number

Cause: a gateway numbers its messages from 1 after each start, and takes a peer's confirmation of the configuration as being at least as recent as the message that the peer names. A peer that has heard only the previous process, or whose message is delayed, names a number that the new process may just have used. The confirmation then looks younger than it is, and a withdrawn key can be accepted beyond its bound.

Change: the first number is drawn from a million; 64 numbers are remembered.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/PeerExchange.kt
@@ -14,6 +14,7 @@
 import java.nio.channels.DatagramChannel
 import java.util.concurrent.ConcurrentHashMap
 import java.util.zip.DataFormatException
+import kotlin.random.Random
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -61,7 +62,9 @@
     // Send times of this process's latest messages, by message number.
     private val sendTimes = LinkedHashMap<Long, ComparableTimeMark>()
     private val lastNumberByPeer = ConcurrentHashMap<String, Long>()
-    private var lastSentNumber = 0L
+
+    // Starts at a random number, so that a message for the previous process of this gateway names none of this process.
+    private var lastSentNumber = Random.nextLong(MAX_FIRST_NUMBER)
     private var lastSentState: PeerState? = null
     private var lastSentEvidenceRevision = 0L
     private var completeStateSentAt: ComparableTimeMark? = null
@@ -204,6 +207,7 @@
         const val PLACEMENT_QUEUE_CAPACITY = 256
         const val MAX_MESSAGE_BYTES = 60_000
         const val REMEMBERED_MESSAGES = 64
+        const val MAX_FIRST_NUMBER = 1_000_000L
         const val MAX_MESSAGES_PER_RUN = 1_000
         val RECEIVE_DELAY = 50.milliseconds
     }
