Answer requests of the entry that meet an unexpected error

Cause: an error in the check of a request's head was answered by the server's exception handler, but the request counted as open for good, and errors that are no exceptions got the server's own page. A planned stop waits for open requests.

Change: `RouteRunner.run` answers any throwable with the problem `internal_error` and completes the request.

--- a/entry/src/main/kotlin/org/celerywalk/entry/http/Exchange.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/http/Exchange.kt
@@ -96,17 +96,24 @@
         if (!lifecycle.isServing) context.header("connection", "close")
         context.future {
             val response = CallerResponse(context, request.requestId)
-            route.check(request).fold(
-                {
-                    onRefusal(request.requestId, null, it)
-                    response.sendProblem(it)
-                },
-                { admitted -> readBody(context, route, createExchange(request, admitted, response)) },
-            )
+            // An error must not leave the request open, because a planned stop waits for open requests.
+            runCatching { admit(context, route, request, response) }
+                .onFailure { refuse(request, response, internalError(request.requestId, it)) }
             response.completion.whenComplete { _, _ -> openRequests.decrementAndGet() }
         }
     }
 
+    private fun admit(context: Context, route: Route, request: CallerRequest, response: CallerResponse) =
+        route.check(request).fold(
+            { refuse(request, response, it) },
+            { admitted -> readBody(context, route, createExchange(request, admitted, response)) },
+        )
+
+    private fun refuse(request: CallerRequest, response: CallerResponse, problem: Problem) {
+        onRefusal(request.requestId, null, problem)
+        response.sendProblem(problem)
+    }
+
     private fun createExchange(request: CallerRequest, admitted: AdmittedRequest, response: CallerResponse) =
         Exchange(request, admitted, response) { exchange, problem ->
             onRefusal(exchange.request.requestId, exchange.admittedRequest.clientAccount, problem)
--- a/entry/src/test/kotlin/org/celerywalk/entry/EntryFixture.kt
+++ b/entry/src/test/kotlin/org/celerywalk/entry/EntryFixture.kt
@@ -31,6 +31,7 @@
 import java.net.Socket
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -53,6 +54,13 @@
     @Volatile
     var areKeysConfirmed = true
 
+    /** Error of the checks whether keys are confirmed, or null. */
+    @Volatile
+    var confirmationError: Throwable? = null
+
+    /** Number of the next checks for a withdrawn key that fail with an error. */
+    val failedWithdrawalChecks = AtomicInteger()
+
     @Volatile
     var withdrawnKeyIds: Set<String> = emptySet()
 
@@ -71,8 +79,11 @@
         EntryDependencies(
             FixedConfiguration(configuration()),
             table,
-            { it in withdrawnKeyIds },
-            { areKeysConfirmed },
+            {
+                if (failedWithdrawalChecks.getAndDecrement() > 0) throw OutOfMemoryError("simulated")
+                it in withdrawnKeyIds
+            },
+            { confirmationError?.let { throw it } ?: areKeysConfirmed },
             admission,
             endpointChooser,
             timeSource = timeSource,
