Call the table of entries and agents on new connections

Cause: the table, the object store, the instance list and the status and orders of engines were called on kept connections. If a server or a proxy sends a response once more, late, the next call takes it for its own, and so do all later calls on that connection: `SecondCopyTest` on the code before got the versions 1, 1, 2, 2, 3 for five transactions that committed as 1 to 5. A claim of a booking or an order could count as committed that was not.

Change: each call of `HttpCaller` has a new connection, as calls of plain services had already.

Measured: SecondCopyTest and RepeatedCallTest pass. What a connection for each call costs an entry was not measured.

--- a/runtime/src/main/kotlin/org/celerywalk/http/HttpCaller.kt
+++ b/runtime/src/main/kotlin/org/celerywalk/http/HttpCaller.kt
@@ -49,13 +49,14 @@
 /**
  * HTTP client for one peer. It sends each request once, without retries or redirects, on a bounded number of threads.
  *
+ * Each call has a new connection: on one that was used before, a late second copy of an earlier response could not be
+ * told from the response to the call.
+ *
  * @param name suffix of the thread names.
- * @param reuseConnections false to open a new connection for each call.
  */
 internal class HttpCaller(
     private val name: String,
     private val limits: HttpLimits,
-    reuseConnections: Boolean = true,
 ) : AutoCloseable {
     private class SendTracker {
         val isSendStarted = AtomicBoolean()
@@ -82,9 +83,7 @@
 
     private val client = OkHttpClient.Builder()
         .dispatcher(dispatcher)
-        .connectionPool(
-            ConnectionPool(if (reuseConnections) limits.maxConcurrentCalls else 0, IDLE_SECONDS, TimeUnit.SECONDS),
-        )
+        .connectionPool(ConnectionPool(0, IDLE_SECONDS, TimeUnit.SECONDS))
         .connectTimeout(limits.connectTimeout.toJavaDuration())
         .readTimeout(limits.callTimeout.toJavaDuration())
         .writeTimeout(limits.callTimeout.toJavaDuration())
--- a/runtime/src/main/kotlin/org/celerywalk/http/PlainServiceClient.kt
+++ b/runtime/src/main/kotlin/org/celerywalk/http/PlainServiceClient.kt
@@ -37,7 +37,7 @@
 public class PlainServiceClient(private val baseUrl: String, limits: HttpLimits) : AutoCloseable {
     // Each call opens a new connection: a call on a reused connection has an unknown outcome if the service closes the
     // idle connection at that moment.
-    private val caller = HttpCaller("service", limits, reuseConnections = false)
+    private val caller = HttpCaller("service", limits)
 
     /** Sends [request] once; the future completes normally in every case. */
     public fun call(request: PlainServiceRequest): CompletableFuture<Either<PlainServiceError, PlainServiceResponse>> {
