--- a/entry/src/main/kotlin/org/celerywalk/entry/agents/AgentNotices.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/agents/AgentNotices.kt
@@ -30,16 +30,16 @@
         incarnation != null && stoppingAgents.isLeaving(agentStart(incarnation))
 
     /** Records that [queue] was full for a request, which may succeed after [duration]. */
-    fun recordFull(queue: AccountQueue, duration: Duration) = fullQueues.recordPause(queue.toStart(), duration)
+    fun recordFull(queue: AccountQueueKey, duration: Duration) = fullQueues.recordPause(queue.toStart(), duration)
 
     /** Returns whether [queue] was full, and the retry time has not passed. */
-    fun isFull(queue: AccountQueue): Boolean = !fullQueues.accepts(queue.toStart(), openCalls = 0)
+    fun isFull(queue: AccountQueueKey): Boolean = !fullQueues.accepts(queue.toStart(), openCalls = 0)
 
     /** Forgets old statements of agents whose incarnations are not in [current]. */
     fun retain(current: List<String>) = stoppingAgents.retain(current.map(::agentStart).toSet())
 }
 
 /** Queue of [clientAccount] for [replica] at the agent with [agentIncarnation]. */
-internal data class AccountQueue(val agentIncarnation: String, val replica: String, val clientAccount: String) {
+internal data class AccountQueueKey(val agentIncarnation: String, val replica: String, val clientAccount: String) {
     fun toStart() = EndpointStart("$agentIncarnation/$replica/$clientAccount", startedAtMillis = null)
 }
--- a/entry/src/main/kotlin/org/celerywalk/entry/chat/ReplicaSelector.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/chat/ReplicaSelector.kt
@@ -2,7 +2,7 @@
 
 import org.celerywalk.cache.PieceNames
 import org.celerywalk.endpoint.ReplicaSummary
-import org.celerywalk.entry.agents.AccountQueue
+import org.celerywalk.entry.agents.AccountQueueKey
 import org.celerywalk.entry.agents.AgentClient
 import org.celerywalk.entry.agents.EndpointRegistry
 import org.celerywalk.routing.EndpointChooser
@@ -47,7 +47,7 @@
         val duration = refusal.retryAfter?.takeIf { refusal.code == StreamEvent.Refused.QUEUE_FULL } ?: return
         val clientAccount = target.routingRequest.clientAccount
         endpoints.notices.recordFull(
-            AccountQueue(target.agentIncarnation, target.replica.replica, clientAccount),
+            AccountQueueKey(target.agentIncarnation, target.replica.replica, clientAccount),
             duration,
         )
     }
@@ -71,7 +71,7 @@
 
     private fun isFull(request: RoutingRequest, replica: ReplicaSummary): Boolean {
         val incarnation = endpoints.client(replica.endpoint)?.incarnation ?: return false
-        return endpoints.notices.isFull(AccountQueue(incarnation, replica.replica, request.clientAccount))
+        return endpoints.notices.isFull(AccountQueueKey(incarnation, replica.replica, request.clientAccount))
     }
 
     private fun acquireSlot(request: RoutingRequest, replica: ReplicaSummary): SelectedReplica? {
--- a/entry/src/main/kotlin/org/celerywalk/entry/http/Exchange.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/http/Exchange.kt
@@ -1,12 +1,8 @@
 package org.celerywalk.entry.http
 
 import arrow.core.Either
-import io.javalin.http.Context
-import org.celerywalk.entry.Lifecycle
 import org.celerywalk.error.Execution
 import org.tinylog.kotlin.Logger
-import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration.Companion.seconds
 
 /** Handles one kind of request. */
@@ -74,68 +70,6 @@
     private fun claimAnswer(): Boolean = !isAnswered.also { isAnswered = true }
 }
 
-/** Runs routes without occupying a thread while a body arrives or an answer is written. */
-internal class RouteRunner(
-    private val bodyReader: BodyReader,
-    private val lifecycle: Lifecycle,
-    private val onRefusal: (requestId: String, clientAccount: String?, Problem) -> Unit,
-) {
-    private val openRequests = AtomicInteger()
-    private val openExchanges = ConcurrentHashMap.newKeySet<Exchange>()
-
-    /** Number of requests whose response is not complete. */
-    val openRequestCount: Int get() = openRequests.get()
-
-    /** Answers all open requests because the process stops. */
-    fun stopOpenRequests() = openExchanges.forEach(Exchange::stop)
-
-    fun run(context: Context, route: Route) {
-        openRequests.incrementAndGet()
-        val request = CallerRequest(context, newRandomId())
-        // The next request of a kept connection would be refused.
-        if (!lifecycle.isServing) context.header("connection", "close")
-        context.future {
-            val response = CallerResponse(context, request.requestId)
-            // An error must not leave the request open, because a planned stop waits for open requests.
-            runCatching { admit(context, route, request, response) }
-                .onFailure { refuse(request, response, internalError(request.requestId, it)) }
-            response.completion.whenComplete { _, _ -> openRequests.decrementAndGet() }
-        }
-    }
-
-    private fun admit(context: Context, route: Route, request: CallerRequest, response: CallerResponse) =
-        route.check(request).fold(
-            { refuse(request, response, it) },
-            { admitted -> readBody(context, route, createExchange(request, admitted, response)) },
-        )
-
-    private fun refuse(request: CallerRequest, response: CallerResponse, problem: Problem) {
-        onRefusal(request.requestId, null, problem)
-        response.sendProblem(problem)
-    }
-
-    private fun createExchange(request: CallerRequest, admitted: AdmittedRequest, response: CallerResponse) =
-        Exchange(request, admitted, response) { exchange, problem ->
-            onRefusal(exchange.request.requestId, exchange.admittedRequest.clientAccount, problem)
-        }
-
-    private fun readBody(context: Context, route: Route, exchange: Exchange) {
-        openExchanges += exchange
-        exchange.response.completion.whenComplete { _, _ -> openExchanges -= exchange }
-        bodyReader.read(context).thenAccept { result ->
-            result.fold(exchange::refuse) { body ->
-                exchange.response.completion.whenComplete { _, _ -> body.release() }
-                // The body may have arrived long after the head was admitted.
-                if (lifecycle.isAcceptingRequests) {
-                    route.handle(exchange, body.takeBytes())
-                } else {
-                    exchange.refuse(stoppingProblem(Execution.NOT_RUN))
-                }
-            }
-        }.exceptionally { failure -> exchange.fail(failure) }
-    }
-}
-
 /** Problem of a request that the process does not serve because it stops. */
 internal fun stoppingProblem(execution: Execution) = if (execution == Execution.NOT_RUN) {
     unavailable("stopping", "this instance is stopping", 1.seconds)
