--- a/review/standin/KeptConnections.java
+++ b/review/standin/KeptConnections.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
@@ -12,7 +14,9 @@
  * replica runs is compared with the one that the client sent.
  */
 final class KeptConnections {
-    private static final int CLIENTS = 8;
+    // As many gateways as the site has, and two busy clients at each.
+    private static final int GATEWAYS = 5;
+    private static final int CLIENTS = 10;
     private static final int SECONDS = 80;
     private static final int BODY_BYTES = 18_000;
 
@@ -40,16 +44,17 @@
                 return work.run(replica, request, socket, out);
             };
             for (int i = 1; i <= 4; i++) setup.addReplica("i-" + i, Setup.ENGINE, check);
-            Setup.Gateway gateway = setup.addGateway("edge-1");
-            gateway.start(true);
-            gateway.awaitReady();
+            List<Setup.Gateway> gateways = new ArrayList<>();
+            for (int g = 1; g <= GATEWAYS; g++) gateways.add(setup.addGateway("edge-" + g));
+            for (Setup.Gateway gateway : gateways) gateway.start(true);
+            for (Setup.Gateway gateway : gateways) gateway.awaitReady();
             Setup.sleep(1000);
             long end = System.nanoTime() + SECONDS * 1_000_000_000L;
             Thread[] threads = new Thread[CLIENTS];
             for (int c = 0; c < CLIENTS; c++) {
                 int number = c;
                 threads[c] = Http.daemon(() -> {
-                    Client client = new Client(gateway, Setup.isTroubled(), 8000);
+                    Client client = new Client(gateways.get(number % GATEWAYS), Setup.isTroubled(), 8000);
                     Random random = new Random(number);
                     for (int n = 0; System.nanoTime() < end; n++) {
                         String id = String.format("%04x%012x", number, n);
