Refuse responses that are no HTTP as a whole, on each connection

Cause: OkHttp repairs what it reads, and nothing behind it sees the bytes.

Change: ResponseSyntax reads the bytes of a socket before OkHttp does, with Jetty's parser in its strict mode, which the server brings, and adds what that parser lets pass: versions, statuses, blanks and empty lines in the status line, codings other than chunked, bodies of statuses that have none. A response that is not sound is lost, whatever its fields say. Heads of callers that end lines with LF get 400. Weighed: checks on OkHttp's result, which can't see line ends or chunk lines; a client of our own, which would replace proved time limits.

--- a/entry/src/main/kotlin/org/celerywalk/entry/http/HttpServer.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/http/HttpServer.kt
@@ -104,7 +104,7 @@
 /** Limits the buffers of each connection, because every open stream has its own connection. */
 internal fun HttpConfiguration.limitConnectionBuffers() {
     sendServerVersion = false
-    httpCompliance = HttpCompliance.RFC9110
+    httpCompliance = HttpCompliance.STRICT
     requestHeaderSize = MAX_HEADER_BYTES
     outputBufferSize = OUTPUT_BUFFER_BYTES
     outputAggregationSize = OUTPUT_BUFFER_BYTES
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/BoundedBodyReader.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/BoundedBodyReader.kt
@@ -1,8 +1,8 @@
 package org.celerywalk.gateway
 
 import okhttp3.Response
+import org.celerywalk.http.strict.readBody
 import org.celerywalk.limit.MemoryBudget
-import org.celerywalk.platform.wire.readBody
 
 /** Reads bodies into memory within [memory], which gets back on [close] what the bodies have reserved. */
 internal class BoundedBodyReader(private val memory: MemoryBudget) : AutoCloseable {
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointClient.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointClient.kt
@@ -11,7 +11,7 @@
 import okhttp3.RequestBody
 import okhttp3.RequestBody.Companion.toRequestBody
 import okhttp3.Response
-import org.celerywalk.platform.wire.limitUnreadBytes
+import org.celerywalk.http.strict.acceptOnlySoundResponses
 import java.io.IOException
 import java.net.ConnectException
 import java.net.InetSocketAddress
@@ -86,7 +86,7 @@
         .readTimeout(0, TimeUnit.MILLISECONDS)
         .eventListener(SendListener())
         .addNetworkInterceptor(takeRetryAfter)
-        .limitUnreadBytes()
+        .acceptOnlySoundResponses()
         .build()
 
     /**
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayServer.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayServer.kt
@@ -101,7 +101,7 @@
     private fun HttpConfiguration.configure() {
         sendServerVersion = false
         sendDateHeader = false
-        httpCompliance = HttpCompliance.RFC9110
+        httpCompliance = HttpCompliance.STRICT
         uriCompliance = UriCompliance.UNSAFE
         requestHeaderSize = MAX_HEADER_BYTES
         responseHeaderSize = MAX_HEADER_BYTES
--- a/runtime/src/test/kotlin/org/celerywalk/RawServer.kt
+++ b/http/src/test/kotlin/org/celerywalk/http/strict/RawServer.kt
@@ -1,4 +1,4 @@
-package org.celerywalk
+package org.celerywalk.http.strict
 
 import java.net.InetAddress
 import java.net.ServerSocket
@@ -6,13 +6,13 @@
 import kotlin.concurrent.thread
 
 /** Server that answers every request with [response] as it stands, and then closes or resets the connection. */
-internal class RawServer(private val response: String, private val endsWithReset: Boolean = false) : AutoCloseable {
+public class RawServer(private val response: String, private val endsWithReset: Boolean = false) : AutoCloseable {
     private val server = ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))
     private val requests = AtomicInteger()
-    val url = "http://127.0.0.1:${server.localPort}"
+    public val url: String = "http://127.0.0.1:${server.localPort}"
 
     /** Number of requests that were received. */
-    val requestCount: Int get() = requests.get()
+    public val requestCount: Int get() = requests.get()
 
     init {
         thread(isDaemon = true) { generateSequence { runCatching(::answer).getOrNull() }.forEach { _ -> } }
--- a/runtime/src/main/kotlin/org/celerywalk/engine/RequestFirstConnector.kt
+++ b/runtime/src/main/kotlin/org/celerywalk/engine/RequestFirstConnector.kt
@@ -1,5 +1,6 @@
 package org.celerywalk.engine
 
+import org.celerywalk.http.strict.ResponseSyntax
 import org.eclipse.jetty.io.ClientConnector
 import org.eclipse.jetty.io.EndPoint
 import org.eclipse.jetty.io.ManagedSelector
@@ -12,7 +13,7 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
-/** Jetty connector for connections that are not read before a request was written. */
+/** Jetty connector for connections that are not read before a request was written and that check what they receive. */
 internal class RequestFirstConnector : ClientConnector() {
     override fun newEndPoint(channel: SelectableChannel, selector: ManagedSelector, key: SelectionKey): EndPoint =
         RequestFirstEndPoint(channel as SocketChannel, selector, key, scheduler)
@@ -21,7 +22,9 @@
 /**
  * End point that leaves bytes unread until a request was written, and closes a connection that stays without one.
  *
- * Jetty reads and discards bytes that arrive before it writes the request; if they never end, it never writes it.
+ * Jetty reads and discards bytes that arrive before it writes the request; if they never end, it never writes it. Its
+ * parser also accepts some heads that are none in HTTP/1.1, which [ResponseSyntax] refuses. A connection has one
+ * request.
  */
 private class RequestFirstEndPoint(
     channel: SocketChannel,
@@ -30,6 +33,7 @@
     scheduler: Scheduler,
 ) : SocketChannelEndPoint(channel, selector, key, scheduler) {
     private val openedAt = TimeSource.Monotonic.markNow()
+    private val syntax = ResponseSyntax().apply { expectResponse("POST") }
 
     @Volatile
     private var hasWritten = false
@@ -40,11 +44,13 @@
     }
 
     override fun fill(buffer: ByteBuffer): Int = when {
-        hasWritten -> super.fill(buffer)
+        hasWritten -> super.fill(buffer).also { if (it > 0) checkLast(buffer, it) }
         openedAt.elapsedNow() <= MAX_TIME_WITHOUT_REQUEST -> 0
         else -> END_OF_INPUT.also { close() }
     }
 
+    private fun checkLast(buffer: ByteBuffer, count: Int) = syntax.check(buffer.slice(buffer.limit() - count, count))
+
     private companion object {
         const val END_OF_INPUT = -1
 
--- a/runtime/src/main/kotlin/org/celerywalk/http/HttpCaller.kt
+++ b/runtime/src/main/kotlin/org/celerywalk/http/HttpCaller.kt
@@ -13,6 +13,7 @@
 import okhttp3.Request
 import okhttp3.Response
 import okio.Buffer
+import org.celerywalk.http.strict.acceptOnlySoundResponses
 import java.io.IOException
 import java.net.ConnectException
 import java.util.concurrent.CompletableFuture
@@ -93,6 +94,7 @@
         .followSslRedirects(false)
         .eventListener(SendTrackingListener())
         .sendOnceDespiteRetryAfter()
+        .acceptOnlySoundResponses()
         .build()
 
     /** Sends [request]; the future completes normally in every case, also with [HttpFailure]. */
--- a/runtime/src/test/kotlin/org/celerywalk/engine/EngineStreamEndTest.kt
+++ b/runtime/src/test/kotlin/org/celerywalk/engine/EngineStreamEndTest.kt
@@ -1,6 +1,7 @@
 package org.celerywalk.engine
 
-import org.celerywalk.RawServer
+import org.celerywalk.http.strict.MalformedResponses
+import org.celerywalk.http.strict.RawServer
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import kotlin.test.Test
@@ -67,6 +68,16 @@
         }
     }
 
+    @Test
+    fun `a response that is no HTTP has failed, although its stream is complete`() {
+        val stream = STARTED + TOKENS + FINISHED
+        val fields = listOf(EVENT_STREAM)
+        val malformed = MalformedResponses.all(stream, fields)
+        malformed.forEach { assertEquals("failed", endOf(RawServer(it)), it) }
+        val sound = MalformedResponses.sound(stream, fields)
+        sound.forEach { assertEquals("1 tokens: one", endOf(RawServer(it)), it) }
+    }
+
     private fun endOf(engine: RawServer): String = engine.use {
         val listener = Listener()
         val limits = EngineStreamLimits(threads = 2, idleTimeout = 5.seconds)
@@ -81,7 +92,8 @@
     private fun chunk(body: String) = if (body.isEmpty()) "" else "${body.length.toString(radix = 16)}\r\n$body\r\n"
 
     private companion object {
-        const val HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+        const val EVENT_STREAM = "Content-Type: text/event-stream"
+        const val HEAD = "HTTP/1.1 200 OK\r\n$EVENT_STREAM\r\n\r\n"
         const val STARTED = "event: started\n" +
             "data: {\"incarnation\": \"e1\", \"weights\": \"w1\", \"prompt_tokens\": 2, \"cached_tokens\": 0}\n\n"
         const val TOKENS = "event: tokens\ndata: {\"offset\": 0, \"count\": 1, \"text\": \"one\"}\n\n"
--- a/runtime/src/test/kotlin/org/celerywalk/http/CutServiceResponseTest.kt
+++ b/runtime/src/test/kotlin/org/celerywalk/http/CutServiceResponseTest.kt
@@ -1,7 +1,7 @@
 package org.celerywalk.http
 
-import org.celerywalk.RawServer
 import org.celerywalk.error.Execution
+import org.celerywalk.http.strict.RawServer
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.time.Duration.Companion.seconds
--- a/runtime/src/test/kotlin/org/celerywalk/http/RepeatedCallTest.kt
+++ b/runtime/src/test/kotlin/org/celerywalk/http/RepeatedCallTest.kt
@@ -1,6 +1,6 @@
 package org.celerywalk.http
 
-import org.celerywalk.RawServer
+import org.celerywalk.http.strict.RawServer
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.time.Duration.Companion.seconds
