Close all connections before a stopping gateway or entry ends

Cause: stop returned once no request was open, and the process ended with its listening socket and all kept connections open; the selector read on until the JVM had stopped its threads. The entry left the end to Jetty's Server.stop, which closes connections whether they are being read or not.

Change: GracefulConnector closes the listening socket, then each connection that waits for bytes, and those that are read after their response. The interest in bytes is taken either to read or to close, so that nothing is read and left. What arrives later stays unread and is reset. Ruled out: a shorter check interval or a longer wait, which keep the window.

Evidence: PlannedStopTest on (trial): SocketTimeoutException, Read timed out, on a kept connection after the stop. With the change it passes; GracefulEndPointTest decides the three orders of reading and closing, GracefulConnectorTest runs it over sockets (mvn -pl http,gateway,entry -am test of these, GatewayTest, BadInputTest and StreamFaultTest, arm64).

--- a/entry/src/main/kotlin/org/celerywalk/entry/http/HttpServer.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/http/HttpServer.kt
@@ -6,12 +6,14 @@
 import io.javalin.http.Context
 import io.javalin.http.HandlerType
 import org.celerywalk.entry.ListenAddress
+import org.celerywalk.http.server.GracefulConnector
 import org.eclipse.jetty.http.HttpCompliance
 import org.eclipse.jetty.server.HttpConfiguration
-import org.eclipse.jetty.server.HttpConnectionFactory
 import org.eclipse.jetty.server.Server
 import org.eclipse.jetty.server.ServerConnector
 import org.eclipse.jetty.util.thread.QueuedThreadPool
+import org.tinylog.kotlin.Logger
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** Status pages that need no key. */
@@ -34,6 +36,7 @@
     private val onRefusal: (requestId: String, Problem) -> Unit,
 ) {
     private val javalin = Javalin.create(::configure)
+    private var connector: GracefulConnector? = null
 
     /** Port that the server listens on. */
     val actualPort: Int get() = javalin.port()
@@ -42,7 +45,10 @@
         javalin.start()
     }
 
+    /** Closes all connections, those on which a request is handled after its response, and stops the server. */
     fun stop() {
+        val areConnectionsClosed = connector?.closeGracefully(CLOSE_TIMEOUT) ?: true
+        if (!areConnectionsClosed) Logger.warn("event=connections_cut after={}", CLOSE_TIMEOUT)
         javalin.stop()
     }
 
@@ -69,10 +75,11 @@
     }
 
     private fun createConnector(server: Server, configuration: HttpConfiguration): ServerConnector =
-        ServerConnector(server, ACCEPTOR_COUNT, SELECTOR_COUNT, HttpConnectionFactory(configuration)).also {
+        GracefulConnector(server, configuration, SELECTOR_COUNT).also {
             it.host = address.host
             it.port = address.port
             it.idleTimeout = IDLE_TIMEOUT.inWholeMilliseconds
+            connector = it
         }
 
     private fun sendReadiness(context: Context) = if (statusPages.isReady()) {
@@ -91,11 +98,13 @@
     private companion object {
         const val MAX_THREADS = 24
         const val MIN_THREADS = 4
-        const val ACCEPTOR_COUNT = 1
         const val SELECTOR_COUNT = 2
 
         // A connection on which the caller reads and sends nothing for this time is closed.
         val IDLE_TIMEOUT = 30.seconds
+
+        // Time in which callers can take the responses to requests that arrive while the server stops.
+        val CLOSE_TIMEOUT = 500.milliseconds
         val SERVICE_METHODS =
             listOf(HandlerType.GET, HandlerType.POST, HandlerType.PUT, HandlerType.PATCH, HandlerType.DELETE)
     }
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/DisconnectDetectingEndPoint.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/DisconnectDetectingEndPoint.kt
@@ -1,11 +1,11 @@
 package org.celerywalk.gateway
 
+import org.celerywalk.http.server.GracefulConnector
+import org.celerywalk.http.server.GracefulEndPoint
 import org.eclipse.jetty.io.ManagedSelector
 import org.eclipse.jetty.io.SocketChannelEndPoint
 import org.eclipse.jetty.server.HttpConfiguration
-import org.eclipse.jetty.server.HttpConnectionFactory
 import org.eclipse.jetty.server.Server
-import org.eclipse.jetty.server.ServerConnector
 import org.eclipse.jetty.util.BufferUtil
 import org.eclipse.jetty.util.thread.Scheduler
 import java.net.StandardSocketOptions
@@ -15,12 +15,12 @@
 
 /** Jetty connector for connections that detect a disconnect of the caller while a request is handled. */
 internal class DisconnectDetectingConnector(server: Server, http: HttpConfiguration) :
-    ServerConnector(server, 1, 1, HttpConnectionFactory(http)) {
+    GracefulConnector(server, http) {
     override fun newEndPoint(
         channel: SocketChannel,
         selector: ManagedSelector,
         key: SelectionKey,
-    ): SocketChannelEndPoint = DisconnectDetectingEndPoint(channel, selector, key, scheduler).also {
+    ): SocketChannelEndPoint = DisconnectDetectingEndPoint(channel, selector, key, scheduler) { isClosing }.also {
         it.idleTimeout = idleTimeout
     }
 
@@ -45,7 +45,8 @@
     selector: ManagedSelector,
     key: SelectionKey,
     scheduler: Scheduler,
-) : SocketChannelEndPoint(channel, selector, key, scheduler) {
+    isClosing: () -> Boolean,
+) : GracefulEndPoint(channel, selector, key, scheduler, isClosing) {
     private val lock = Any()
     private var bytesReadAhead = BufferUtil.EMPTY_BUFFER
     private var isInputClosed = false
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
@@ -91,8 +91,9 @@
     }
 
     /**
-     * Reports not ready, completes open requests, and returns before the stop grace period ends. A request that is not
-     * complete by then gets a final response that says whether it may have run.
+     * Reports not ready, completes open requests, closes all connections, and returns before the stop grace period
+     * ends. A request that is not complete by then gets a final response that says whether it may have run. A request
+     * that a caller sends later stays unread, even before the process has ended.
      */
     public fun stop() {
         log.write("stop", "open" to handler.openRequestCount)
@@ -105,7 +106,13 @@
         handler.endOpenRequests()
         val endedAt = timeSource.markNow()
         awaitOpenRequests { FINAL_RESPONSE_TIME - endedAt.elapsedNow() }
-        log.write("stopped", "open" to handler.openRequestCount, "after" to stoppedAt.elapsedNow())
+        val areConnectionsClosed = server.stop(FINAL_RESPONSE_TIME - endedAt.elapsedNow())
+        log.write(
+            "stopped",
+            "open" to handler.openRequestCount,
+            "connections_closed" to areConnectionsClosed,
+            "after" to stoppedAt.elapsedNow(),
+        )
         log.close()
     }
 
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayServer.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayServer.kt
@@ -1,11 +1,11 @@
 package org.celerywalk.gateway
 
+import org.celerywalk.http.server.GracefulConnector
 import org.eclipse.jetty.http.HttpCompliance
 import org.eclipse.jetty.http.UriCompliance
 import org.eclipse.jetty.io.Content
 import org.eclipse.jetty.server.Handler
 import org.eclipse.jetty.server.HttpConfiguration
-import org.eclipse.jetty.server.HttpConnectionFactory
 import org.eclipse.jetty.server.Request
 import org.eclipse.jetty.server.Response
 import org.eclipse.jetty.server.Server
@@ -17,7 +17,9 @@
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.ScheduledThreadPoolExecutor
 import java.util.concurrent.ThreadFactory
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
 
 /** Content of the readiness check for the platform and of the metrics page for operators. */
 internal interface StatusPages {
@@ -59,7 +61,7 @@
     private val http = HttpConfiguration().apply { configure() }
     private val callers = DisconnectDetectingConnector(server, http).apply { listenOn(settings.callers) }
     private val connectors = listOf(callers) + listOf(settings.readiness, settings.metrics)
-        .map { address -> ServerConnector(server, 1, 1, HttpConnectionFactory(http)).apply { listenOn(address) } }
+        .map { address -> GracefulConnector(server, http).apply { listenOn(address) } }
     private val disconnectTask =
         PeriodicTask("caller-disconnects", DISCONNECT_CHECK_INTERVAL, log, callers::detectDisconnects)
 
@@ -75,6 +77,17 @@
         disconnectTask.start()
     }
 
+    /**
+     * Closes the addresses and all connections, those on which a request is handled after its response.
+     *
+     * Returns false if some connections are still open after [timeout].
+     */
+    fun stop(timeout: Duration): Boolean {
+        val begunAt = TimeSource.Monotonic.markNow()
+        return connectors.map { it.closeGracefully((timeout - begunAt.elapsedNow()).coerceAtLeast(Duration.ZERO)) }
+            .all { it }
+    }
+
     private inner class PortDispatcher : Handler.Abstract() {
         override fun handle(request: Request, response: Response, callback: Callback): Boolean {
             when (Request.getLocalPort(request)) {
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/DisconnectDetectingEndPointTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/DisconnectDetectingEndPointTest.kt
@@ -1,14 +1,9 @@
 package org.celerywalk.gateway
 
-import org.eclipse.jetty.io.EndPoint
-import org.eclipse.jetty.io.ManagedSelector
-import org.eclipse.jetty.io.SelectorManager
+import org.celerywalk.http.server.ScriptedSocketChannel
+import org.celerywalk.http.server.UnstartedSelector
 import org.eclipse.jetty.util.BufferUtil
-import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler
 import java.nio.ByteBuffer
-import java.nio.channels.SelectableChannel
-import java.nio.channels.SelectionKey
-import java.nio.channels.Selector
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
@@ -21,7 +16,13 @@
 class DisconnectDetectingEndPointTest {
     private val incoming = ArrayDeque<String>()
     private var onRead: () -> Unit = {}
-    private val endPoint = createEndPoint()
+    private val unstarted = UnstartedSelector()
+    private val endPoint = DisconnectDetectingEndPoint(
+        ScriptedSocketChannel(::receive),
+        unstarted.selector,
+        unstarted.key,
+        unstarted.scheduler,
+    ) { false }
     private val readAheadBuffer = BufferUtil.allocate(DisconnectDetectingEndPoint.READ_AHEAD_BYTES)
     private var isDisconnected = false
 
@@ -90,39 +91,6 @@
         return text.length
     }
 
-    private fun createEndPoint(): DisconnectDetectingEndPoint {
-        val scheduler = ScheduledExecutorScheduler()
-        val manager = object : SelectorManager(Runnable::run, scheduler, 1) {
-            override fun newEndPoint(channel: SelectableChannel, selector: ManagedSelector, key: SelectionKey) =
-                throw UnsupportedOperationException()
-
-            override fun newConnection(channel: SelectableChannel, endPoint: EndPoint, attachment: Any?) =
-                throw UnsupportedOperationException()
-        }
-        return DisconnectDetectingEndPoint(
-            ScriptedSocketChannel(::receive),
-            ManagedSelector(manager, 0),
-            UnregisteredKey,
-            scheduler,
-        )
-    }
-
-    private object UnregisteredKey : SelectionKey() {
-        override fun channel(): SelectableChannel = throw UnsupportedOperationException()
-
-        override fun selector(): Selector = throw UnsupportedOperationException()
-
-        override fun isValid() = true
-
-        override fun cancel() = Unit
-
-        override fun interestOps() = 0
-
-        override fun interestOps(ops: Int) = this
-
-        override fun readyOps() = 0
-    }
-
     private companion object {
         const val END = "end of input"
     }
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/PlannedStopTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/PlannedStopTest.kt
@@ -2,12 +2,14 @@
 
 import okhttp3.Request
 import org.junit.jupiter.api.AfterEach
+import java.io.IOException
 import java.net.Socket
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.locks.LockSupport
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -61,6 +63,22 @@
         assertEquals(2, endpoint.receivedRequests.size)
     }
 
+    @Test
+    fun `no connection is open any more, to be read from, once the process may end`() {
+        fleet.add(script = EndpointStandIn.responseScript(200, "done"))
+        fleet.start(TestFleet.route("once", "non_idempotent"))
+        val (unused, kept) = List(2) { Socket("127.0.0.1", fleet.gateway.port).apply { soTimeout = 5_000 } }
+        kept.use {
+            val head = "POST /once/x HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Attempt-Id: u\r\nContent-Length: 0\r\n\r\n"
+            it.getOutputStream().write(head.toByteArray())
+            val response = StringBuilder()
+            while (!response.endsWith("done")) response.append(it.getInputStream().read().toChar())
+            fleet.gateway.stop()
+            listOf(unused, it).forEach { socket -> assertEquals(-1, socket.getInputStream().read()) }
+        }
+        assertFailsWith<IOException> { Socket("127.0.0.1", fleet.gateway.port) }
+    }
+
     private fun callOnce(): CompletableFuture<Int> =
         CompletableFuture.supplyAsync { status(fleet.request("once").build()) }
 
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/ScriptedSocketChannel.kt
+++ b/http/src/test/kotlin/org/celerywalk/http/server/ScriptedSocketChannel.kt
@@ -1,4 +1,4 @@
-package org.celerywalk.gateway
+package org.celerywalk.http.server
 
 import java.net.Socket
 import java.net.SocketAddress
@@ -8,7 +8,7 @@
 import java.nio.channels.spi.SelectorProvider
 
 /** Test double of a connected socket whose bytes come from [receive]; it can neither write nor connect. */
-internal class ScriptedSocketChannel(private val receive: (ByteBuffer) -> Int) :
+public class ScriptedSocketChannel(private val receive: (ByteBuffer) -> Int) :
     SocketChannel(SelectorProvider.provider()) {
     override fun read(target: ByteBuffer): Int = receive(target)
 
