Limit the memory of request bodies and partial events of all requests

Cause: each request has a bound, their sum has none.

Change: bodies of requests count against 12 MB as they arrive, and what goes beyond is refused at once with 503 body_memory, as not run.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/Admission.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/Admission.kt
@@ -7,6 +7,7 @@
 import org.celerywalk.account.FleetQuota
 import org.celerywalk.account.QuotaDecision
 import org.celerywalk.fleet.AccountDefinition
+import org.celerywalk.limit.MemoryReservation
 import org.celerywalk.route.Route
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -35,8 +36,11 @@
     // The age of the configuration's confirmation is checked when a request arrives, which is after the caller sent it.
     private val maxConfirmationAge = state.settings.bounds.keyWithdrawal - CONFIRMATION_MARGIN
 
-    /** Admits the request of [exchange] and charges its quota, or returns the refusal. Reads the request's body. */
-    fun admit(exchange: CallerExchange): Either<Refusal, AdmittedRequest> {
+    /**
+     * Admits the request of [exchange] and charges its quota, or returns the refusal. Reads the request's body within
+     * [memory].
+     */
+    fun admit(exchange: CallerExchange, memory: MemoryReservation): Either<Refusal, AdmittedRequest> {
         val activeConfiguration = state.activeConfiguration
         val route = activeConfiguration?.routes?.find(exchange.host, exchange.path)
         return when {
@@ -44,25 +48,29 @@
             route == null ->
                 (if (isConfigurationConfirmed()) Refusal(NOT_FOUND, "no_route") else unconfirmedRefusal()).left()
             else -> authenticate(activeConfiguration, route, exchange)
-                .flatMap { account -> readAndCharge(activeConfiguration, route, account, exchange) }
+                .flatMap { account ->
+                    readBody(activeConfiguration, exchange, memory)
+                        .flatMap { body -> chargeQuota(activeConfiguration, route, account, exchange, body) }
+                }
         }
     }
 
-    private fun readAndCharge(
+    private fun readBody(
         activeConfiguration: ActiveConfiguration,
-        route: Route,
-        account: AccountDefinition?,
         exchange: CallerExchange,
-    ): Either<Refusal, AdmittedRequest> {
+        memory: MemoryReservation,
+    ): Either<Refusal, ByteArray> {
         val limits = activeConfiguration.configuration.limits
         val headerBytes =
             exchange.headers.sumOf { (name, value) -> name.length + value.length + HEADER_SEPARATOR_BYTES }
-        val areHeadersTooLarge = headerBytes > limits.maxHeaderBytes + exchange.target.length
-        val body = if (areHeadersTooLarge) null else exchange.readBody(limits.maxBodyBytes)
-        return when {
-            areHeadersTooLarge -> Refusal(HEADERS_TOO_LARGE, "headers_too_large").left()
-            body == null -> Refusal(CONTENT_TOO_LARGE, "body_too_large").left()
-            else -> chargeQuota(activeConfiguration, route, account, exchange, body)
+        if (headerBytes > limits.maxHeaderBytes + exchange.target.length) {
+            return Refusal(HEADERS_TOO_LARGE, "headers_too_large").left()
+        }
+        return exchange.readBody(limits.maxBodyBytes, memory).mapLeft { problem ->
+            when (problem) {
+                BodyProblem.TOO_LARGE -> Refusal(CONTENT_TOO_LARGE, "body_too_large")
+                BodyProblem.NO_MEMORY -> Refusal(UNAVAILABLE, "body_memory", BODY_MEMORY_RETRY_AFTER)
+            }
         }
     }
 
@@ -118,6 +126,7 @@
         // ": " and CRLF of each header field.
         const val HEADER_SEPARATOR_BYTES = 4
         val CONFIGURATION_RETRY_AFTER = 1.seconds
+        val BODY_MEMORY_RETRY_AFTER = 1.seconds
         val MIN_RETRY_AFTER = 100.milliseconds
 
         // Covers the time between the check and the send to the endpoint, and clocks that differ slightly in rate.
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/BoundedBodyReader.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/BoundedBodyReader.kt
@@ -3,21 +3,20 @@
 import okhttp3.Response
 import org.celerywalk.http.strict.readBody
 import org.celerywalk.limit.MemoryBudget
+import org.celerywalk.limit.MemoryReservation
 
-/** Reads bodies into memory within [memory], which gets back on [close] what the bodies have reserved. */
-internal class BoundedBodyReader(private val memory: MemoryBudget) : AutoCloseable {
-    private var reservedBytes = 0
+/** Reads bodies into memory within a budget, which gets back on [close] what the bodies have reserved. */
+internal class BoundedBodyReader(budget: MemoryBudget) : AutoCloseable {
+    private val memory = MemoryReservation(budget)
 
     /**
      * Returns the body of [response].
      *
      * @throws java.io.IOException if the body can't be read or is too large.
      */
-    fun read(response: Response): ByteArray = response.readBody(MAX_BODY_BYTES) { bytes ->
-        memory.tryReserveBytes(bytes).also { if (it) reservedBytes += bytes }
-    }
+    fun read(response: Response): ByteArray = response.readBody(MAX_BODY_BYTES, memory::tryAdd)
 
-    override fun close() = memory.releaseBytes(reservedBytes)
+    override fun close() = memory.close()
 
     private companion object {
         const val MAX_BODY_BYTES = 4L * 1024 * 1024
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/CallerExchange.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/CallerExchange.kt
@@ -1,6 +1,12 @@
 package org.celerywalk.gateway
 
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
 import okhttp3.Call
+import okio.Buffer
+import okio.source
+import org.celerywalk.limit.MemoryReservation
 import org.celerywalk.platform.wire.CallerRequest
 import org.eclipse.jetty.http.HttpVersion
 import org.eclipse.jetty.io.Content
@@ -25,6 +31,15 @@
     STOPPING,
 }
 
+/** Reason why the body of a request can't be read. */
+internal enum class BodyProblem {
+    /** The body is longer than the configuration allows. */
+    TOO_LARGE,
+
+    /** The bodies of the open requests have reached the limit of memory. */
+    NO_MEMORY,
+}
+
 /** Request of a caller, with its decoded fields, its response and its cancellation. */
 internal class CallerExchange(
     private val request: Request,
@@ -62,10 +77,24 @@
     /** Returns the time since the request's arrival. */
     fun elapsed(): Duration = arrivedAt.elapsedNow()
 
-    /** Reads the body, or returns null if it is longer than [maxBytes]. */
-    fun readBody(maxBytes: Int): ByteArray? {
-        if (request.length > maxBytes) return null
-        return Content.Source.asInputStream(request).readNBytes(maxBytes + 1).takeIf { it.size <= maxBytes }
+    /**
+     * Reads the body within [memory], or returns the reason why it can't be read.
+     *
+     * @throws IOException if the caller breaks the body off.
+     */
+    fun readBody(maxBytes: Int, memory: MemoryReservation): Either<BodyProblem, ByteArray> {
+        val input = Content.Source.asInputStream(request).source()
+        val content = Buffer()
+        var hasMore = request.length <= maxBytes
+        while (hasMore) {
+            val count = input.read(content, READ_BYTES)
+            hasMore = count >= 0 && content.size <= maxBytes && memory.tryResize(content.size.toInt())
+        }
+        return when {
+            maxOf(request.length, content.size) > maxBytes -> BodyProblem.TOO_LARGE.left()
+            content.size > memory.bytes -> BodyProblem.NO_MEMORY.left()
+            else -> content.readByteArray().right()
+        }
     }
 
     /** Cancels the request from now on if the caller closes the connection. */
@@ -88,6 +117,10 @@
         this.activeCall = call
         if (cancelReason != null) call.cancel()
     }
+
+    private companion object {
+        const val READ_BYTES = 8L * 1024
+    }
 }
 
 /**
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/RequestHandler.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/RequestHandler.kt
@@ -1,5 +1,7 @@
 package org.celerywalk.gateway
 
+import org.celerywalk.limit.MemoryBudget
+import org.celerywalk.limit.MemoryReservation
 import org.eclipse.jetty.server.Request
 import org.eclipse.jetty.server.Response
 import org.eclipse.jetty.util.Callback
@@ -20,6 +22,7 @@
     private val stop: PlannedStop,
 ) {
     private val admission = Admission(state)
+    private val bodyMemory = MemoryBudget(BODY_MEMORY_BYTES)
     private val openRequests = AtomicInteger()
     private val forwardedExchanges = ConcurrentHashMap.newKeySet<CallerExchange>()
 
@@ -40,7 +43,10 @@
                 refuse(exchange, Refusal(UNAVAILABLE, "too_many_requests", OVERLOAD_RETRY_AFTER))
             } else {
                 state.startupGate.awaitReady((exchange.caller.timeLeft ?: Duration.INFINITE) / START_WAIT_DIVISOR)
-                admission.admit(exchange).fold({ refuse(exchange, it) }, { forwardUnlessStopping(exchange, it) })
+                MemoryReservation(bodyMemory).use { memory ->
+                    admission.admit(exchange, memory)
+                        .fold({ refuse(exchange, it) }, { forwardUnlessStopping(exchange, it) })
+                }
             }
         } catch (e: IOException) {
             log.write("caller_gone", "id" to exchange.caller.attemptId, "cause" to e.message)
@@ -115,6 +121,9 @@
         // Well below GatewayServer's number of threads, so that some remain for the readiness checks and metrics.
         const val MAX_OPEN_REQUESTS = 200
 
+        // A sixth of the heap that deploy/system.toml allows; a body is held twice for a moment once it is complete.
+        const val BODY_MEMORY_BYTES = 12L * 1024 * 1024
+
         // A request waits at most a third of its time for the gateway to start; the remaining time is for the response.
         const val START_WAIT_DIVISOR = 3
         val OVERLOAD_RETRY_AFTER = 1.seconds
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/ResponseRelay.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/ResponseRelay.kt
@@ -2,6 +2,7 @@
 
 import okhttp3.Response
 import org.celerywalk.limit.MemoryBudget
+import org.celerywalk.limit.MemoryReservation
 import org.celerywalk.platform.wire.EndpointResponseHeaders
 import org.celerywalk.route.RequestKind
 import org.celerywalk.route.Route
@@ -23,6 +24,7 @@
     memory: MemoryBudget,
 ) : AutoCloseable {
     private val bodyReader = BoundedBodyReader(memory)
+    private val partialEventMemory = MemoryReservation(memory)
     private val boundaries = ServerSentEventSplitter()
 
     /** True once an endpoint has sent a complete event or a complete body for this request. */
@@ -58,21 +60,22 @@
         } catch (e: IOException) {
             return AttemptOutcome.ResponseLost("body: ${e.message}")
         }
-        return if (body.isEmpty() && response.code == OK && !response.hasFramedBody()) {
-            AttemptOutcome.ResponseLost("response without length ends before its first byte")
-        } else {
+        val bufferedResponse = BufferedResponse(response.code, response.fields(), body)
+        val mayBeCut = body.isEmpty() && response.code == OK && !response.hasFramedBody()
+        if (!mayBeCut) {
             hasAnswerBegun = true
             onBodyRead()
-            sendUnlessServerError(BufferedResponse(response.code, response.fields(), body))
+        }
+        return when {
+            mayBeCut -> AttemptOutcome.ResponseLost("response without length ends before its first byte")
+            response.code >= MIN_SERVER_ERROR_STATUS -> AttemptOutcome.ServerError(bufferedResponse)
+            else -> AttemptOutcome.Completed.also { sendBuffered(bufferedResponse) }
         }
     }
 
-    override fun close() = bodyReader.close()
-
-    private fun sendUnlessServerError(bufferedResponse: BufferedResponse): AttemptOutcome {
-        if (bufferedResponse.status >= MIN_SERVER_ERROR_STATUS) return AttemptOutcome.ServerError(bufferedResponse)
-        sendBuffered(bufferedResponse)
-        return AttemptOutcome.Completed
+    override fun close() {
+        bodyReader.close()
+        partialEventMemory.close()
     }
 
     private fun relayStream(response: Response, onBodyRead: () -> Unit): AttemptOutcome {
@@ -98,18 +101,25 @@
                 }
                 onBodyRead()
             }
-        } while (count >= 0 && !isStalled && boundaries.partialEventBytes <= MAX_EVENT_BYTES)
-        return when {
-            isStalled -> AttemptOutcome.ResponseLost("stream: no event for ${route.stallTimeout}")
-            boundaries.partialEventBytes > MAX_EVENT_BYTES ->
-                AttemptOutcome.ResponseLost("stream: an event has more than $MAX_EVENT_BYTES bytes")
-            !boundaries.endsAtEventBoundary -> AttemptOutcome.ResponseLost("stream ends within an event")
-            !hasEvents && !response.hasFramedBody() ->
-                AttemptOutcome.ResponseLost("stream without length ends before its first event")
-            else -> completeStream(response)
+            val canHoldEvent = boundaries.partialEventBytes <= MAX_EVENT_BYTES &&
+                partialEventMemory.tryResize(boundaries.partialEventBytes)
+        } while (count >= 0 && !isStalled && canHoldEvent)
+        return if (isStalled) {
+            AttemptOutcome.ResponseLost("stream: no event for ${route.stallTimeout}")
+        } else {
+            findStreamFault(response, hasEvents)?.let(AttemptOutcome::ResponseLost) ?: completeStream(response)
         }
     }
 
+    // Returns the reason why the stream is not complete at the end of its response, or null if it is.
+    private fun findStreamFault(response: Response, hasEvents: Boolean): String? = when {
+        boundaries.partialEventBytes > MAX_EVENT_BYTES -> "stream: an event has more than $MAX_EVENT_BYTES bytes"
+        boundaries.partialEventBytes > partialEventMemory.bytes -> "stream: no memory for an event is left"
+        !boundaries.endsAtEventBoundary -> "stream ends within an event"
+        !hasEvents && !response.hasFramedBody() -> "stream without length ends before its first event"
+        else -> null
+    }
+
     // Bytes that complete no event don't count. Only a resumable stream can go on at another endpoint.
     private fun isStalledSince(lastEventAt: Duration): Boolean =
         route.isResumable && exchange.elapsed() - lastEventAt > route.stallTimeout
--- a/library/src/test/kotlin/org/celerywalk/limit/MemoryBudgetTest.kt
+++ b/library/src/test/kotlin/org/celerywalk/limit/MemoryBudgetTest.kt
@@ -32,6 +32,16 @@
         assertTrue(mostHeld <= LIMIT_BYTES, "$mostHeld bytes were held")
     }
 
+    @Test
+    fun `a reservation that is resized holds what it says and returns all of it`() {
+        val budget = MemoryBudget(LIMIT_BYTES)
+        val reservation = MemoryReservation(budget)
+        assertEquals(listOf(true, false, true), listOf(900, LIMIT_BYTES.toInt() + 1, 300).map(reservation::tryResize))
+        assertEquals(listOf(true, false), listOf(LIMIT_BYTES.toInt() - 300, 1).map(reservation::tryAdd))
+        reservation.close()
+        assertTrue(budget.tryReserveBytes(LIMIT_BYTES.toInt()))
+    }
+
     @Test
     fun `a refused reservation takes nothing and released bytes can be reserved again`() {
         val budget = MemoryBudget(LIMIT_BYTES)
