Keep store calls of earlier tests out of endpoint stand-ins

The log of the test shows one request_sent, and members_unread (read gateways) of another gateway at 127.0.0.1:44487, the address of this test's endpoint: a gateway of an earlier test still read its store, whose port the stand-in had got. Its two store calls were counted.

Such calls are recognised by their path, which no route of a test has, and are not recorded. The check is as strict for what the gateway forwards.

--- a/gateway/src/test/kotlin/org/celerywalk/gateway/EndpointStandIn.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/EndpointStandIn.kt
@@ -36,6 +36,8 @@
     private fun serve(socket: Socket) = socket.use {
         val input = it.getInputStream()
         val requestLine = input.readHeaderLine()
+        // A gateway of an earlier test may still call its store, whose port this stand-in has got.
+        if (STORE_CALL in requestLine) return@use
         val fields = generateSequence { input.readHeaderLine().ifEmpty { null } }
             .associate { field -> field.substringBefore(':').lowercase() to field.substringAfter(':').trim() }
         val body = String(input.readNBytes(fields["content-length"]?.toInt() ?: 0))
@@ -48,6 +50,7 @@
         generateSequence { read().takeIf { it >= 0 && it != '\n'.code } }.map { it.toChar() }.joinToString("").trim()
 
     companion object {
+        private const val STORE_CALL = " /v1/rows-"
         private const val SIGNATURE = "X-Response-Signature"
         private val SUCCESSES = 200..299
 
