Run periodic duties in a loop that no error can end

Cause: each run scheduled the next one after it had logged its failure.

Change: PeriodicTask is a loop on its own thread, which has nothing to schedule. Rescheduling in a finally block was ruled out: it still needs memory for an entry of the executor's queue.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/PeriodicTask.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/PeriodicTask.kt
@@ -1,46 +1,81 @@
 package org.celerywalk.gateway
 
-import java.util.concurrent.Executors
-import java.util.concurrent.ScheduledExecutorService
-import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.locks.LockSupport
 import kotlin.time.Duration
 
-/** Runs [task] repeatedly on a dedicated thread, with the current [delay] between the end of a run and the next. */
+/**
+ * Runs [task] repeatedly on a dedicated thread, with the current [delay] between the end of a run and the next.
+ *
+ * No error ends the runs: the next one needs no memory and no log line. Only [close] does.
+ */
 internal class PeriodicTask(
-    private val name: String,
+    name: String,
     private val delay: () -> Duration,
     private val log: EventLog,
     private val task: () -> Unit,
 ) : AutoCloseable {
     constructor(name: String, delay: Duration, log: EventLog, task: () -> Unit) : this(name, { delay }, log, task)
 
-    private val executor: ScheduledExecutorService = Executors.newSingleThreadScheduledExecutor { run ->
-        Thread(run, name).apply { isDaemon = true }
-    }
+    private val thread = Thread(::runUntilClosed, name).apply { isDaemon = true }
+    private val isRunDue = AtomicBoolean()
+
+    @Volatile
+    private var isOpen = true
+    private var initialDelay = Duration.ZERO
 
-    /** Schedules the task, first after [initialDelay]. */
+    /** Starts the runs, the first after [initialDelay]. May be called once. */
     fun start(initialDelay: Duration = Duration.ZERO) {
-        executor.schedule(::runAndReschedule, initialDelay.inWholeNanoseconds, TimeUnit.NANOSECONDS)
+        this.initialDelay = initialDelay
+        thread.start()
     }
 
-    /** Schedules an additional run, which starts once the current run has ended. */
+    /** Starts the next run as soon as the current one has ended. */
     fun runSoon() {
-        if (!executor.isShutdown) executor.execute(::runOnce)
+        isRunDue.set(true)
+        LockSupport.unpark(thread)
     }
 
     override fun close() {
-        executor.shutdownNow()
+        isOpen = false
+        thread.interrupt()
     }
 
-    private fun runAndReschedule() {
-        runOnce()
-        if (!executor.isShutdown) start(delay())
+    private fun runUntilClosed() {
+        awaitNextRun(initialDelay)
+        while (isOpen) {
+            runOnce()
+            awaitNextRun(delay())
+        }
     }
 
+    private fun awaitNextRun(maxWait: Duration) {
+        val waitNanos = maxWait.inWholeNanoseconds
+        val beganAt = System.nanoTime()
+        var leftNanos = waitNanos
+        while (isOpen && leftNanos > 0 && !isRunDue.get()) {
+            LockSupport.parkNanos(this, leftNanos)
+            leftNanos = waitNanos - (System.nanoTime() - beganAt)
+        }
+        isRunDue.set(false)
+    }
+
+    // Any error that is thrown here would end the thread, so that even one that can't be logged is not passed on.
+    @Suppress("TooGenericExceptionCaught")
     private fun runOnce() {
-        // An exception would end all further runs of the task.
-        runCatching(task).onFailure {
-            if (!executor.isShutdown) log.write("duty_failed", "duty" to name, "cause" to it.toString())
+        try {
+            task()
+        } catch (e: Throwable) {
+            if (isOpen) logFailure(e)
+        }
+    }
+
+    @Suppress("TooGenericExceptionCaught", "SwallowedException")
+    private fun logFailure(failure: Throwable) {
+        try {
+            log.write("duty_failed", "duty" to thread.name, "cause" to failure.toString())
+        } catch (_: Throwable) {
+            // Without memory for a line, the next run matters more.
         }
     }
 }
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/PeriodicTaskTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/PeriodicTaskTest.kt
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit
 import kotlin.test.Test
 import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Guards against a duty of the gateway that ends unnoticed while its process goes on. */
@@ -30,4 +31,21 @@
             }
         }
     }
+
+    @Test
+    fun `a run that is asked for does not wait for the delay, also if it is asked for during a run`() {
+        val runs = CountDownLatch(3)
+        val log = EventLog("test", PrintStream(OutputStream.nullOutputStream()))
+        lateinit var task: PeriodicTask
+        task = PeriodicTask("test", 1.hours, log) {
+            runs.countDown()
+            if (runs.count == 1L) task.runSoon()
+        }
+        task.use {
+            it.start()
+            awaitUntil { runs.count == 2L }
+            it.runSoon()
+            assertTrue(runs.await(5, TimeUnit.SECONDS))
+        }
+    }
 }
