Treat a parser error without a reason as a fault of the response

Found by reading: HttpException.getReason may be null, and a null fault would let the rest of a malformed response pass. No path of Jetty's parser with such an error is known, so that no test reaches it. The buffer of the connector now stands before its functions.

ResponseSyntaxTest, DisconnectDetectingEndPointTest, MalformedResponseTest and GatewayTest pass (arm64).

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/DisconnectDetectingEndPoint.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/DisconnectDetectingEndPoint.kt
@@ -16,6 +16,8 @@
 /** Jetty connector for connections that detect a disconnect of the caller while a request is handled. */
 internal class DisconnectDetectingConnector(server: Server, http: HttpConfiguration) :
     GracefulConnector(server, http) {
+    private val readAheadBuffer = BufferUtil.allocateDirect(DisconnectDetectingEndPoint.READ_AHEAD_BYTES)
+
     override fun newEndPoint(
         channel: SocketChannel,
         selector: ManagedSelector,
@@ -24,8 +26,6 @@
         it.idleTimeout = idleTimeout
     }
 
-    private val readAheadBuffer = BufferUtil.allocateDirect(DisconnectDetectingEndPoint.READ_AHEAD_BYTES)
-
     /** Reports the disconnects since the last call on all connections. Must be called on one thread only. */
     fun detectDisconnects() = connectedEndPoints.forEach {
         (it as DisconnectDetectingEndPoint).detectDisconnect(readAheadBuffer)
--- a/http/src/main/kotlin/org/celerywalk/http/strict/ResponseSyntax.kt
+++ b/http/src/main/kotlin/org/celerywalk/http/strict/ResponseSyntax.kt
@@ -151,7 +151,7 @@
         }
 
         override fun badMessage(failure: HttpException) {
-            fault = failure.reason
+            fault = failure.reason ?: "status ${failure.code} of the parser"
         }
     }
 
