Give all calls one limit of memory, and end points one place of creation

HttpCaller reads bodies with the function that the other clients use.

A duty whose failure can't be logged counts a dropped line, so that the error is told. GracefulConnector alone sets the idle timeout of end points.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/DisconnectDetectingEndPoint.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/DisconnectDetectingEndPoint.kt
@@ -3,7 +3,6 @@
 import org.celerywalk.http.server.GracefulConnector
 import org.celerywalk.http.server.GracefulEndPoint
 import org.eclipse.jetty.io.ManagedSelector
-import org.eclipse.jetty.io.SocketChannelEndPoint
 import org.eclipse.jetty.server.HttpConfiguration
 import org.eclipse.jetty.server.Server
 import org.eclipse.jetty.util.BufferUtil
@@ -18,13 +17,11 @@
     GracefulConnector(server, http) {
     private val readAheadBuffer = BufferUtil.allocateDirect(DisconnectDetectingEndPoint.READ_AHEAD_BYTES)
 
-    override fun newEndPoint(
+    override fun createEndPoint(
         channel: SocketChannel,
         selector: ManagedSelector,
         key: SelectionKey,
-    ): SocketChannelEndPoint = DisconnectDetectingEndPoint(channel, selector, key, scheduler) { isClosing }.also {
-        it.idleTimeout = idleTimeout
-    }
+    ): GracefulEndPoint = DisconnectDetectingEndPoint(channel, selector, key, scheduler) { isClosing }
 
     /** Reports the disconnects since the last call on all connections. Must be called on one thread only. */
     fun detectDisconnects() = connectedEndPoints.forEach {
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/EventLog.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/EventLog.kt
@@ -46,6 +46,11 @@
         if (!queue.offer(Line(clockMillis(), event, fields))) droppedCount.incrementAndGet()
     }
 
+    /** Counts a line as dropped whose event could not be described. */
+    public fun recordDropped() {
+        droppedCount.incrementAndGet()
+    }
+
     /** Writes the queued lines and stops the thread; returns after [closeTimeout] at the latest. */
     override fun close() {
         isOpen = false
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/PeriodicTask.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/PeriodicTask.kt
@@ -3,6 +3,7 @@
 import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.locks.LockSupport
 import kotlin.time.Duration
+import kotlin.time.TimeSource
 
 /**
  * Runs [task] repeatedly on a dedicated thread, with the current [delay] between the end of a run and the next.
@@ -50,12 +51,9 @@
     }
 
     private fun awaitNextRun(maxWait: Duration) {
-        val waitNanos = maxWait.inWholeNanoseconds
-        val beganAt = System.nanoTime()
-        var leftNanos = waitNanos
-        while (isOpen && leftNanos > 0 && !isRunDue.get()) {
-            LockSupport.parkNanos(this, leftNanos)
-            leftNanos = waitNanos - (System.nanoTime() - beganAt)
+        val beganAt = TimeSource.Monotonic.markNow()
+        while (isOpen && !isRunDue.get() && beganAt.elapsedNow() < maxWait) {
+            LockSupport.parkNanos(this, (maxWait - beganAt.elapsedNow()).inWholeNanoseconds)
         }
         isRunDue.set(false)
     }
@@ -75,7 +73,8 @@
         try {
             log.write("duty_failed", "duty" to thread.name, "cause" to failure.toString())
         } catch (_: Throwable) {
-            // Without memory for a line, the next run matters more.
+            // There may be no memory for the line; the count needs none and is told later.
+            log.recordDropped()
         }
     }
 }
--- a/http/src/main/kotlin/org/celerywalk/http/server/GracefulConnector.kt
+++ b/http/src/main/kotlin/org/celerywalk/http/server/GracefulConnector.kt
@@ -28,13 +28,18 @@
         shutdownIdleTimeout = -1
     }
 
-    override fun newEndPoint(
+    final override fun newEndPoint(
         channel: SocketChannel,
         selector: ManagedSelector,
         key: SelectionKey,
-    ): SocketChannelEndPoint = GracefulEndPoint(channel, selector, key, scheduler) { isClosing }.also {
-        it.idleTimeout = idleTimeout
-    }
+    ): SocketChannelEndPoint = createEndPoint(channel, selector, key).also { it.idleTimeout = idleTimeout }
+
+    /** Creates the end point of an accepted connection. */
+    protected open fun createEndPoint(
+        channel: SocketChannel,
+        selector: ManagedSelector,
+        key: SelectionKey,
+    ): GracefulEndPoint = GracefulEndPoint(channel, selector, key, scheduler) { isClosing }
 
     /**
      * Accepts no more connections, closes those on which no request is handled, and waits for the others to end.
--- a/runtime/src/main/kotlin/org/celerywalk/http/HttpCaller.kt
+++ b/runtime/src/main/kotlin/org/celerywalk/http/HttpCaller.kt
@@ -12,8 +12,10 @@
 import okhttp3.OkHttpClient
 import okhttp3.Request
 import okhttp3.Response
-import okio.Buffer
 import org.celerywalk.http.strict.acceptOnlySoundResponses
+import org.celerywalk.http.strict.readBody
+import org.celerywalk.limit.MemoryBudget
+import org.celerywalk.limit.MemoryReservation
 import java.io.IOException
 import java.net.ConnectException
 import java.util.concurrent.CompletableFuture
@@ -69,6 +71,8 @@
         }
     }
 
+    // The longest body, so that all calls to one peer together hold no more than one may.
+    private val bodyMemory = MemoryBudget(MAX_BODY_BYTES)
     private val threads = ThreadPoolExecutor(
         limits.maxConcurrentCalls,
         limits.maxConcurrentCalls,
@@ -128,13 +132,8 @@
 
     private fun readBody(response: Response): Either<HttpFailure, BufferedHttpResponse> = try {
         response.use {
-            val content = Buffer()
-            while (content.size <= MAX_BODY_BYTES && it.body.source().read(content, CHUNK_BYTES) >= 0) continue
-            if (content.size > MAX_BODY_BYTES) {
-                HttpFailure("the response is longer than $MAX_BODY_BYTES bytes", mayBeSent = true).left()
-            } else {
-                BufferedHttpResponse(it.code, it.headers, content.readByteArray(), isEndedByConnection(it)).right()
-            }
+            val body = MemoryReservation(bodyMemory).use { memory -> it.readBody(MAX_BODY_BYTES, memory::tryAdd) }
+            BufferedHttpResponse(it.code, it.headers, body, isEndedByConnection(it)).right()
         }
     } catch (e: IOException) {
         HttpFailure("the response was cut: ${e.message ?: e.javaClass.simpleName}", mayBeSent = true).left()
@@ -150,7 +149,6 @@
         val STATUSES_WITHOUT_BODY = setOf(204, 304)
         val FRAMING_HEADERS = listOf("Content-Length", "Transfer-Encoding")
         const val IDLE_SECONDS = 30L
-        const val CHUNK_BYTES = 64L * 1024
         const val MAX_BODY_BYTES = 16L * 1024 * 1024
     }
 }
