Sort the gateway's files into one package for each concern

Cause: 54 files in one flat package did not show what belongs together. Change: moves only; packages callers, admission, forwarding, endpoints, store, peers and weights, tests beside what they test. The daemon, settings, log, metrics and the shared view of the fleet stay in the root package. Imports are adapted, no other line has changed.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/FleetState.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/FleetState.kt
@@ -5,6 +5,7 @@
 import org.celerywalk.endpoint.EndpointDirectory
 import org.celerywalk.fleet.AccountDefinition
 import org.celerywalk.fleet.FleetConfiguration
+import org.celerywalk.gateway.store.RegistrySync
 import org.celerywalk.key.AccountKeys
 import org.celerywalk.key.StoreConfirmation
 import org.celerywalk.limit.RetryBudget
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/Main.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/Main.kt
@@ -1,5 +1,6 @@
 package org.celerywalk.gateway
 
+import org.celerywalk.gateway.callers.CallersSocket
 import sun.misc.Signal
 import java.nio.file.Path
 import java.util.concurrent.CountDownLatch
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/Admission.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/admission/Admission.kt
@@ -1,4 +1,4 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.admission
 
 import arrow.core.Either
 import arrow.core.flatMap
@@ -7,6 +7,10 @@
 import org.celerywalk.account.FleetQuota
 import org.celerywalk.account.QuotaDecision
 import org.celerywalk.fleet.AccountDefinition
+import org.celerywalk.gateway.ActiveConfiguration
+import org.celerywalk.gateway.FleetState
+import org.celerywalk.gateway.callers.BodyProblem
+import org.celerywalk.gateway.callers.CallerExchange
 import org.celerywalk.limit.MemoryReservation
 import org.celerywalk.route.Route
 import kotlin.time.Duration
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/CallerExchange.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/callers/CallerExchange.kt
@@ -1,4 +1,4 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.callers
 
 import arrow.core.Either
 import arrow.core.left
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/CallersSocket.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/callers/CallersSocket.kt
@@ -1,5 +1,6 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.callers
 
+import org.celerywalk.gateway.SocketAddress
 import java.net.InetSocketAddress
 import java.net.StandardSocketOptions
 import java.nio.channels.ServerSocketChannel
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/DisconnectDetectingEndPoint.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/callers/DisconnectDetectingEndPoint.kt
@@ -1,4 +1,4 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.callers
 
 import org.celerywalk.http.server.GracefulConnector
 import org.celerywalk.http.server.GracefulEndPoint
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayServer.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/callers/GatewayServer.kt
@@ -1,5 +1,9 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.callers
 
+import org.celerywalk.gateway.EventLog
+import org.celerywalk.gateway.GatewaySettings
+import org.celerywalk.gateway.PeriodicTask
+import org.celerywalk.gateway.SocketAddress
 import org.celerywalk.http.server.GracefulConnector
 import org.eclipse.jetty.http.HttpCompliance
 import org.eclipse.jetty.http.UriCompliance
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/RequestHandler.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/callers/RequestHandler.kt
@@ -1,5 +1,16 @@
-package org.celerywalk.gateway
-
+package org.celerywalk.gateway.callers
+
+import org.celerywalk.gateway.EventLog
+import org.celerywalk.gateway.FleetState
+import org.celerywalk.gateway.GatewayMetrics
+import org.celerywalk.gateway.PlannedStop
+import org.celerywalk.gateway.admission.Admission
+import org.celerywalk.gateway.admission.AdmittedRequest
+import org.celerywalk.gateway.admission.Refusal
+import org.celerywalk.gateway.forwarding.ForwardingContext
+import org.celerywalk.gateway.forwarding.ForwardingResult
+import org.celerywalk.gateway.forwarding.RequestForwarder
+import org.celerywalk.gateway.forwarding.RetryObstacle
 import org.celerywalk.limit.MemoryBudget
 import org.celerywalk.limit.MemoryReservation
 import org.eclipse.jetty.server.Request
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/CacheEventSubscriptions.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/endpoints/CacheEventSubscriptions.kt
@@ -1,7 +1,11 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.endpoints
 
 import org.celerywalk.cache.CacheEventCursor
 import org.celerywalk.cache.CacheEvents
+import org.celerywalk.gateway.EventLog
+import org.celerywalk.gateway.FleetState
+import org.celerywalk.gateway.GatewayMetrics
+import org.celerywalk.gateway.PeriodicTask
 import org.celerywalk.platform.wire.ReplicaCalls
 import org.celerywalk.routing.ResponsibleInstance
 import java.util.concurrent.ConcurrentHashMap
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointClient.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/endpoints/EndpointClient.kt
@@ -1,4 +1,4 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.endpoints
 
 import okhttp3.Call
 import okhttp3.ConnectionPool
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/BoundedBodyReader.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/BoundedBodyReader.kt
@@ -1,4 +1,4 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.forwarding
 
 import okhttp3.Response
 import org.celerywalk.http.strict.readBody
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/CandidateSelector.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/CandidateSelector.kt
@@ -1,6 +1,7 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.forwarding
 
 import org.celerywalk.endpoint.RegisteredEndpoint
+import org.celerywalk.gateway.FleetState
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/EndpointSender.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/EndpointSender.kt
@@ -1,8 +1,12 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.forwarding
 
 import okhttp3.Call
 import okhttp3.Response
 import org.celerywalk.endpoint.RegisteredEndpoint
+import org.celerywalk.gateway.FleetState
+import org.celerywalk.gateway.callers.CallerExchange
+import org.celerywalk.gateway.endpoints.EndpointRequest
+import org.celerywalk.gateway.endpoints.SendResult
 import org.celerywalk.platform.wire.EndpointResponseHeaders
 import org.celerywalk.platform.wire.ForwardedHeaders
 import org.celerywalk.platform.wire.ForwardedRequest
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/ForwardingContext.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/ForwardingContext.kt
@@ -1,5 +1,9 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.forwarding
 
+import org.celerywalk.gateway.EventLog
+import org.celerywalk.gateway.FleetState
+import org.celerywalk.gateway.GatewayMetrics
+import org.celerywalk.gateway.endpoints.EndpointClient
 import org.celerywalk.platform.wire.ReplicaCalls
 import org.celerywalk.routing.ServiceEndpointChooser
 import java.util.concurrent.ScheduledExecutorService
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GenerationPlacer.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/GenerationPlacer.kt
@@ -1,8 +1,12 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.forwarding
 
 import org.celerywalk.cache.CacheScope
 import org.celerywalk.cache.PromptPart
 import org.celerywalk.endpoint.RegisteredEndpoint
+import org.celerywalk.gateway.EventLog
+import org.celerywalk.gateway.FleetState
+import org.celerywalk.gateway.admission.AdmittedRequest
+import org.celerywalk.gateway.callers.CallerExchange
 import org.celerywalk.platform.wire.ForwardedGeneration
 import org.celerywalk.routing.EndpointLoad
 import org.celerywalk.routing.EndpointWork
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/QuarantineEnforcer.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/QuarantineEnforcer.kt
@@ -1,6 +1,9 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.forwarding
 
 import org.celerywalk.endpoint.RegisteredEndpoint
+import org.celerywalk.gateway.EventLog
+import org.celerywalk.gateway.FleetState
+import org.celerywalk.gateway.endpoints.EndpointClient
 import org.celerywalk.platform.wire.CallerRequest
 import org.celerywalk.quarantine.QuarantineDecision
 import org.celerywalk.routing.ResponsibleInstance
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/RequestForwarder.kt
@@ -1,6 +1,9 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.forwarding
 
 import org.celerywalk.endpoint.RegisteredEndpoint
+import org.celerywalk.gateway.admission.AdmittedRequest
+import org.celerywalk.gateway.callers.CallerExchange
+import org.celerywalk.gateway.callers.CancelReason
 import org.celerywalk.platform.wire.ForwardedGeneration
 import org.celerywalk.platform.wire.ForwardedRequest
 import org.celerywalk.route.RequestKind
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/RequestRetries.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/RequestRetries.kt
@@ -1,5 +1,6 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.forwarding
 
+import org.celerywalk.gateway.callers.CallerExchange
 import org.celerywalk.limit.RetryBudget
 import org.celerywalk.route.Route
 import kotlin.time.Duration
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/ResponseRelay.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/ResponseRelay.kt
@@ -1,6 +1,7 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.forwarding
 
 import okhttp3.Response
+import org.celerywalk.gateway.callers.CallerExchange
 import org.celerywalk.limit.MemoryReservation
 import org.celerywalk.platform.wire.EndpointResponseHeaders
 import org.celerywalk.route.RequestKind
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/StallDeadline.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/StallDeadline.kt
@@ -1,4 +1,4 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.forwarding
 
 import java.util.concurrent.ScheduledExecutorService
 import java.util.concurrent.ScheduledFuture
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/CacheEventsCodec.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/peers/CacheEventsCodec.kt
@@ -1,4 +1,4 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.peers
 
 import com.fasterxml.jackson.databind.JsonNode
 import com.fasterxml.jackson.databind.node.ArrayNode
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/Membership.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/peers/Membership.kt
@@ -1,5 +1,9 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.peers
 
+import org.celerywalk.gateway.EventLog
+import org.celerywalk.gateway.GatewaySettings
+import org.celerywalk.gateway.PeriodicTask
+import org.celerywalk.gateway.SocketAddress
 import org.celerywalk.platform.wire.AddressFormat
 import org.celerywalk.platform.wire.PlatformTable
 import org.celerywalk.platform.wire.RowWrite
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/PeerEjections.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/peers/PeerEjections.kt
@@ -1,4 +1,7 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.peers
+
+import org.celerywalk.gateway.EventLog
+import org.celerywalk.gateway.FleetState
 
 /**
  * Counts outlier ejections reported by other gateways, so that not every gateway has to lose calls to a failing
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/peers/PeerExchange.kt
@@ -1,10 +1,16 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.peers
 
 import com.fasterxml.jackson.core.JsonProcessingException
 import org.celerywalk.cache.CacheEvents
 import org.celerywalk.cache.CacheScope
 import org.celerywalk.cache.PromptPart
 import org.celerywalk.endpoint.RegisteredEndpoint
+import org.celerywalk.gateway.EventLog
+import org.celerywalk.gateway.FleetState
+import org.celerywalk.gateway.GatewayMetrics
+import org.celerywalk.gateway.PeriodicTask
+import org.celerywalk.gateway.SocketAddress
+import org.celerywalk.gateway.endpoints.CacheEventSubscriptions
 import org.celerywalk.instance.ExchangeTiming
 import org.celerywalk.weights.WeightHistory
 import org.jctools.queues.MpscArrayQueue
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/PeerMessageCompressor.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/peers/PeerMessageCompressor.kt
@@ -1,4 +1,4 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.peers
 
 import java.io.ByteArrayOutputStream
 import java.util.zip.DataFormatException
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/PeerState.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/peers/PeerState.kt
@@ -1,4 +1,4 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.peers
 
 import org.celerywalk.cache.CacheEvents
 import org.celerywalk.endpoint.EndpointStart
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/PeerStateReceiver.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/peers/PeerStateReceiver.kt
@@ -1,8 +1,12 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.peers
 
 import org.celerywalk.cache.CacheEvents
 import org.celerywalk.cache.CacheScope
 import org.celerywalk.cache.PromptPart
+import org.celerywalk.gateway.EventLog
+import org.celerywalk.gateway.FleetState
+import org.celerywalk.gateway.SocketAddress
+import org.celerywalk.gateway.weights.WeightChangeTracker
 import org.celerywalk.instance.ExchangeTiming
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/OperatorsSync.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/store/OperatorsSync.kt
@@ -1,8 +1,11 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.store
 
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import org.celerywalk.gateway.EventLog
+import org.celerywalk.gateway.FleetState
+import org.celerywalk.gateway.PeriodicTask
 import org.celerywalk.platform.wire.CallError
 import org.celerywalk.platform.wire.FleetDocument
 import org.celerywalk.platform.wire.PlatformTable
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/QuarantineSync.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/store/QuarantineSync.kt
@@ -1,5 +1,8 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.store
 
+import org.celerywalk.gateway.EventLog
+import org.celerywalk.gateway.FleetState
+import org.celerywalk.gateway.PeriodicTask
 import org.celerywalk.platform.wire.CallError
 import org.celerywalk.platform.wire.PlatformTable
 import org.celerywalk.platform.wire.RowWrite
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/RegistrySync.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/store/RegistrySync.kt
@@ -1,6 +1,10 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.store
 
 import org.celerywalk.endpoint.RegisteredEndpoint
+import org.celerywalk.gateway.EventLog
+import org.celerywalk.gateway.FleetState
+import org.celerywalk.gateway.GatewayBounds
+import org.celerywalk.gateway.PeriodicTask
 import org.celerywalk.platform.wire.PlatformTable
 import org.celerywalk.platform.wire.RegistryDocument
 import kotlin.time.Duration
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/StorePollSchedule.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/store/StorePollSchedule.kt
@@ -1,5 +1,6 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.store
 
+import org.celerywalk.gateway.FleetState
 import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/StoreSync.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/store/StoreSync.kt
@@ -1,5 +1,7 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.store
 
+import org.celerywalk.gateway.EventLog
+import org.celerywalk.gateway.FleetState
 import org.celerywalk.platform.wire.PlatformTable
 import kotlin.time.Duration
 
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/UnreadableRow.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/store/UnreadableRow.kt
@@ -1,5 +1,6 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.store
 
+import org.celerywalk.gateway.EventLog
 import org.celerywalk.platform.wire.StoredRow
 
 /** Logs that [row], of another writer, was left out since it can't be decoded. */
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/OrderLeaseManager.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/weights/OrderLeaseManager.kt
@@ -1,5 +1,7 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.weights
 
+import org.celerywalk.gateway.EventLog
+import org.celerywalk.gateway.GatewaySettings
 import org.celerywalk.platform.wire.PlatformTable
 import org.celerywalk.platform.wire.RowWrite
 import org.celerywalk.platform.wire.WriteOutcome
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/WeightChangeTracker.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/weights/WeightChangeTracker.kt
@@ -1,5 +1,7 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.weights
 
+import org.celerywalk.gateway.EventLog
+import org.celerywalk.gateway.FleetState
 import kotlin.time.Duration
 
 /** Keeps new work away from replicas that load new weights, and relocates their long streams. */
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/WeightRolloutController.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/weights/WeightRolloutController.kt
@@ -1,6 +1,9 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.weights
 
 import org.celerywalk.endpoint.RegisteredEndpoint
+import org.celerywalk.gateway.EventLog
+import org.celerywalk.gateway.FleetState
+import org.celerywalk.gateway.PeriodicTask
 import org.celerywalk.platform.wire.OrderOutcome
 import org.celerywalk.platform.wire.ReplicaCalls
 import org.celerywalk.platform.wire.ReplicaReport
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/FollowedStore.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/FollowedStore.kt
@@ -1,6 +1,8 @@
 package org.celerywalk.gateway
 
 import okhttp3.OkHttpClient
+import org.celerywalk.gateway.store.StoreEvents
+import org.celerywalk.gateway.store.StoreSync
 import org.celerywalk.instance.SuspendAwareTimeSource
 import org.celerywalk.platform.wire.PlatformCalls
 import org.celerywalk.platform.wire.PlatformTable
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/GatewayTest.kt
@@ -4,6 +4,8 @@
 import okhttp3.Request
 import okhttp3.RequestBody.Companion.toRequestBody
 import okhttp3.Response
+import org.celerywalk.gateway.callers.CallersSocket
+import org.celerywalk.gateway.peers.PeerMessageCompressor
 import org.junit.jupiter.api.AfterEach
 import java.io.IOException
 import java.net.DatagramPacket
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/PipelinedRequestTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/PipelinedRequestTest.kt
@@ -1,5 +1,9 @@
 package org.celerywalk.gateway
 
+import org.celerywalk.gateway.callers.CallerConnection
+import org.celerywalk.gateway.callers.CallerResponse
+import org.celerywalk.gateway.callers.DisconnectDetectingConnector
+import org.celerywalk.gateway.callers.DisconnectDetectingEndPoint
 import org.eclipse.jetty.io.Content
 import org.eclipse.jetty.server.Handler
 import org.eclipse.jetty.server.HttpConfiguration
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/TestFleet.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/TestFleet.kt
@@ -2,6 +2,7 @@
 
 import okhttp3.Request
 import okhttp3.RequestBody.Companion.toRequestBody
+import org.celerywalk.gateway.peers.PeerMessageCompressor
 import java.net.DatagramPacket
 import java.net.DatagramSocket
 import java.net.InetAddress
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/DisconnectDetectingEndPointTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/callers/DisconnectDetectingEndPointTest.kt
@@ -1,5 +1,6 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.callers
 
+import org.celerywalk.gateway.awaitUntil
 import org.celerywalk.http.server.ScriptedSocketChannel
 import org.celerywalk.http.server.UnstartedSelector
 import org.eclipse.jetty.util.BufferUtil
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/CacheEventSubscriptionsTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/endpoints/CacheEventSubscriptionsTest.kt
@@ -1,4 +1,4 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.endpoints
 
 import okhttp3.OkHttpClient
 import org.celerywalk.cache.CacheEvents
@@ -7,6 +7,12 @@
 import org.celerywalk.fleet.EngineDefinition
 import org.celerywalk.fleet.FleetConfiguration
 import org.celerywalk.fleet.ServiceDefinition
+import org.celerywalk.gateway.EndpointStandIn
+import org.celerywalk.gateway.EventLog
+import org.celerywalk.gateway.FleetState
+import org.celerywalk.gateway.GatewayMetrics
+import org.celerywalk.gateway.awaitUntil
+import org.celerywalk.gateway.testSettings
 import org.celerywalk.instance.SuspendAwareTimeSource
 import org.celerywalk.platform.wire.PlatformCalls
 import org.celerywalk.platform.wire.ReplicaCalls
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/SendClaimTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/forwarding/SendClaimTest.kt
@@ -1,7 +1,8 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.forwarding
 
 import okhttp3.OkHttpClient
 import okhttp3.Request
+import org.celerywalk.gateway.awaitUntil
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/StartDeadlineTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/forwarding/StartDeadlineTest.kt
@@ -1,7 +1,8 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.forwarding
 
 import okhttp3.OkHttpClient
 import okhttp3.Request
+import org.celerywalk.gateway.awaitUntil
 import org.junit.jupiter.api.AfterEach
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/OddPeerTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/peers/OddPeerTest.kt
@@ -1,7 +1,13 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.peers
 
 import com.fasterxml.jackson.core.JsonProcessingException
 import okhttp3.OkHttpClient
+import org.celerywalk.gateway.EventLog
+import org.celerywalk.gateway.FleetState
+import org.celerywalk.gateway.SocketAddress
+import org.celerywalk.gateway.StoreStandIn
+import org.celerywalk.gateway.TestGateway
+import org.celerywalk.gateway.testSettings
 import org.celerywalk.instance.ExchangeTiming
 import org.celerywalk.instance.SuspendAwareTimeSource
 import org.celerywalk.platform.wire.PlatformCalls
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/PeerMessageCompressorTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/peers/PeerMessageCompressorTest.kt
@@ -1,4 +1,4 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.peers
 
 import java.util.zip.DataFormatException
 import kotlin.random.Random
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/PeerStateReceiverTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/peers/PeerStateReceiverTest.kt
@@ -1,9 +1,13 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.peers
 
 import okhttp3.OkHttpClient
 import org.celerywalk.endpoint.RegisteredEndpoint
 import org.celerywalk.fleet.CallerLimits
 import org.celerywalk.fleet.FleetConfiguration
+import org.celerywalk.gateway.EventLog
+import org.celerywalk.gateway.FleetState
+import org.celerywalk.gateway.SocketAddress
+import org.celerywalk.gateway.testSettings
 import org.celerywalk.instance.ExchangeTiming
 import org.celerywalk.platform.wire.PlatformCalls
 import org.celerywalk.platform.wire.PlatformTable
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/QuarantineSyncTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/store/QuarantineSyncTest.kt
@@ -1,6 +1,11 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.store
 
 import okhttp3.OkHttpClient
+import org.celerywalk.gateway.EventLog
+import org.celerywalk.gateway.FleetState
+import org.celerywalk.gateway.StoreStandIn
+import org.celerywalk.gateway.awaitUntil
+import org.celerywalk.gateway.testSettings
 import org.celerywalk.instance.SuspendAwareTimeSource
 import org.celerywalk.platform.wire.PlatformCalls
 import org.celerywalk.platform.wire.PlatformTable
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/RestoredOperatorsTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/store/RestoredOperatorsTest.kt
@@ -1,5 +1,8 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.store
 
+import org.celerywalk.gateway.FollowedStore
+import org.celerywalk.gateway.StoreStandIn
+import org.celerywalk.gateway.awaitUntil
 import org.junit.jupiter.api.AfterEach
 import kotlin.test.Test
 import kotlin.test.assertEquals
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/LeaseFleet.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/weights/LeaseFleet.kt
@@ -1,6 +1,9 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.weights
 
 import okhttp3.OkHttpClient
+import org.celerywalk.gateway.EventLog
+import org.celerywalk.gateway.StoreStandIn
+import org.celerywalk.gateway.testSettings
 import org.celerywalk.platform.wire.PlatformCalls
 import org.celerywalk.platform.wire.PlatformTable
 import org.celerywalk.table.StoreEra
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/RestoredLeaseTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/weights/RestoredLeaseTest.kt
@@ -1,5 +1,8 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.weights
 
+import org.celerywalk.gateway.StoreRows
+import org.celerywalk.gateway.StoreStandIn
+import org.celerywalk.gateway.testSettings
 import org.junit.jupiter.api.AfterEach
 import kotlin.random.Random
 import kotlin.test.Test
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/WeightRolloutControllerTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/weights/WeightRolloutControllerTest.kt
@@ -1,7 +1,14 @@
-package org.celerywalk.gateway
+package org.celerywalk.gateway.weights
 
 import okhttp3.OkHttpClient
 import org.celerywalk.endpoint.RegisteredEndpoint
+import org.celerywalk.gateway.EndpointStandIn
+import org.celerywalk.gateway.EventLog
+import org.celerywalk.gateway.FleetState
+import org.celerywalk.gateway.GatewayBounds
+import org.celerywalk.gateway.GatewaySettings
+import org.celerywalk.gateway.SocketAddress
+import org.celerywalk.gateway.StoreStandIn
 import org.celerywalk.platform.wire.FleetDocument
 import org.celerywalk.platform.wire.PlatformCalls
 import org.celerywalk.platform.wire.PlatformTable
