Rank the work at model replicas and compare their pace

Cause: the expected wait of a generation counted all prompt tokens at a replica, though replicas read more urgent prompts first. Change: gateways keep and exchange the work at a replica by rank (RankedWork). A generation in time counts the work of its own and of more urgent ranks; a late one comes after those in time and by rank among the late. FirstTokenPace compares a replica's times to first token with the expected ones, so that a slow replica gets less. Messages between gateways carry the work by rank: all gateways are replaced within one roll, as docs/OPERATIONS.md asks.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/GenerationPlacer.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/GenerationPlacer.kt
@@ -14,6 +14,7 @@
 import org.celerywalk.routing.Generation
 import org.celerywalk.routing.ModelReplicaChooser
 import org.celerywalk.routing.Placement
+import org.celerywalk.routing.Rank
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.DurationUnit
@@ -40,7 +41,13 @@
  * Counts a generation's work in the load of its replica: the prefill until the first token, the remaining work until
  * the reservation is closed.
  */
-internal class LoadReservation(private val load: EndpointLoad, private val work: EndpointWork) : AutoCloseable {
+internal class LoadReservation(
+    private val load: EndpointLoad,
+    private val work: EndpointWork,
+    private val rank: Int = Rank.MOST_URGENT,
+    private val onFirstToken: () -> Unit = {},
+) : AutoCloseable {
+    private var hasFirstToken = false
     private var prefill = EndpointWork(
         queuedPrefillTokens = work.queuedPrefillTokens,
         deferredPrefillTokens = work.deferredPrefillTokens,
@@ -48,17 +55,20 @@
     private val remaining = work - prefill
 
     init {
-        load.add(work)
+        load.add(work, rank)
     }
 
     /** Removes the prefill from the load once the replica has generated the first token. Later calls have no effect. */
     fun releasePrefill() {
-        load.remove(prefill)
+        if (hasFirstToken) return
+        hasFirstToken = true
+        load.remove(prefill, rank)
         prefill = EndpointWork()
+        onFirstToken()
     }
 
     override fun close() {
-        load.remove(remaining + prefill)
+        load.remove(remaining + prefill, rank)
     }
 }
 
@@ -128,6 +138,7 @@
             isolatedAccount = admitted.account?.takeIf { it.isIsolated }?.name,
             firstTokenTimeLeft = (admitted.route.latencyTarget - exchange.elapsed())
                 .coerceAtLeast(MIN_FIRST_TOKEN_TARGET),
+            rank = Rank.ofPriority(admitted.account?.priority ?: admitted.route.priority),
             isResumed = exchange.response.isCommitted,
         )
     }
@@ -150,6 +161,7 @@
             "fetch_from" to placement.fetchAddress,
             "prompt" to generation.promptTokens,
             "expected_ms" to placement.expectedFirstTokenMillis.toLong(),
+            "rank" to generation.rank,
             "deferred" to placement.isDeferred.takeIf { it },
             "calls" to state.loads.getOrCreate(endpoint.id).work().calls,
         )
@@ -158,7 +170,7 @@
         val headers = ForwardedGeneration(
             cacheScope = placement.scope.value,
             expectedWeightsVersion = placement.version,
-            priority = if (placement.isDeferred) LOWEST_PRIORITY else accountOrRoutePriority(admitted),
+            priority = Rank.replicaPriority(generation.rank, placement.isDeferred),
             fetchFromAddress = placement.fetchAddress,
             saveToAddress = saveToAddress(admitted, generation, placement.scope),
         )
@@ -166,7 +178,7 @@
             endpoint,
             headers,
             startLimit(generation.model, placement.version),
-            LoadReservation(state.loads.getOrCreate(endpoint.id), placement.work),
+            observe(placement, generation.rank),
         )
     }
 
@@ -175,8 +187,16 @@
             (state.settings.bounds.weightsDeadline - START_MARGIN - supersededTime).coerceAtLeast(Duration.ZERO)
         }
 
-    private fun accountOrRoutePriority(admitted: AdmittedRequest) =
-        (admitted.account?.priority ?: admitted.route.priority).coerceIn(0, LOWEST_PRIORITY)
+    // Compares the time to first token with the expected one, unless the generation yields to others for long.
+    private fun observe(placement: Placement, rank: Int): LoadReservation {
+        val load = state.loads.getOrCreate(placement.endpoint.id)
+        val placedAt = state.timeSource.markNow()
+        return LoadReservation(load, placement.work, rank) {
+            if (!placement.isDeferred) {
+                load.firstTokenPace.record(placedAt.elapsedNow(), placement.expectedFirstTokenMillis.milliseconds)
+            }
+        }
+    }
 
     // Returns the cache store's address if enough shared tokens are not saved there yet. The last part belongs to this
     // request or its session and is not saved, since the store's memory is for parts that many requests share.
@@ -189,7 +209,6 @@
     }
 
     private companion object {
-        const val LOWEST_PRIORITY = 9
         const val MIN_NEW_TOKENS_TO_SAVE = 512
         val MIN_FIRST_TOKEN_TARGET = 50.milliseconds
 
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/peers/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/peers/PeerExchange.kt
@@ -168,7 +168,7 @@
             configurationChecksum = state.activeConfiguration?.checksum,
             confirmationAge = state.confirmation.age(),
             quotas = state.quotas.mapValues { (_, quota) -> quota.totalAdmittedCost.toLong() },
-            work = loads.mapValues { (_, load) -> load.ownWork }.filterValues { it.calls > 0 },
+            work = loads.mapValues { (_, load) -> load.ownRankedWork }.filterValues { it.byRank.isNotEmpty() },
             versions = state.directory.endpoints
                 .mapValues { (id, endpoint) -> unregisteredVersions(id, endpoint, models) }
                 .filterValues { it.isNotEmpty() },
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/peers/PeerState.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/peers/PeerState.kt
@@ -3,7 +3,7 @@
 import org.celerywalk.cache.CacheEvents
 import org.celerywalk.endpoint.EndpointStart
 import org.celerywalk.quarantine.PartEvidence
-import org.celerywalk.routing.EndpointWork
+import org.celerywalk.routing.RankedWork
 import kotlin.time.Duration
 
 /** Report that [holder] will soon hold prompt parts [partIds] of cache scope [scope]. */
@@ -21,7 +21,7 @@
  * @property configurationChecksum tells contents of [configuration] apart, null if the sender does not tell it.
  * @property confirmationAge time since the store confirmed [configuration], or null if it never did.
  * @property quotas total admitted cost by client account.
- * @property work work of the sender's own calls by endpoint.
+ * @property work work of the sender's own calls by endpoint and rank.
  * @property versions weights versions by endpoint and model that are newer than in the registry.
  * @property changingEndpoints replicas with a pending weight order of the sender.
  * @property ejectedEndpoints endpoints that the sender has ejected because of its own calls.
@@ -41,7 +41,7 @@
     val configurationChecksum: Long? = null,
     val confirmationAge: Duration? = null,
     val quotas: Map<String, Long> = emptyMap(),
-    val work: Map<String, EndpointWork> = emptyMap(),
+    val work: Map<String, RankedWork> = emptyMap(),
     val versions: Map<String, Map<String, Int>> = emptyMap(),
     val changingEndpoints: Set<String> = emptySet(),
     val ejectedEndpoints: Set<String> = emptySet(),
@@ -64,7 +64,7 @@
         confirmationAge = null,
         quotas = quotas.changesSince(previous.quotas),
         work = work.changesSince(previous.work) +
-            (previous.work.keys - work.keys).associateWith { EndpointWork() },
+            (previous.work.keys - work.keys).associateWith { RankedWork() },
         versions = versions.changesSince(previous.versions),
         weightAges = emptyMap(),
         leavingEndpoints = leavingEndpoints - previous.leavingEndpoints,
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/peers/PeerStateReceiverTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/peers/PeerStateReceiverTest.kt
@@ -12,6 +12,7 @@
 import org.celerywalk.platform.wire.PlatformCalls
 import org.celerywalk.platform.wire.PlatformTable
 import org.celerywalk.routing.EndpointWork
+import org.celerywalk.routing.RankedWork
 import java.io.OutputStream
 import java.io.PrintStream
 import kotlin.test.Test
@@ -60,7 +61,7 @@
     fun `the clock is read as often for a message in a large fleet as in a small one`() {
         val counts = listOf(Fleet(5, 8, 5), Fleet(360, 1_400, 290)).map { fleet ->
             val before = fleet.clock.readCount
-            val work = mapOf("i-1" to EndpointWork(calls = 1))
+            val work = mapOf("i-1" to RankedWork.of(EndpointWork(calls = 1)))
             val quotas = mapOf("account-1" to 10L)
             fleet.receive(PeerState("edge-1", 2, isComplete = false, quotas = quotas, work = work))
             fleet.clock.readCount - before
@@ -71,11 +72,11 @@
     @Test
     fun `work of another gateway counts until it reports that it has ended`() {
         val fleet = Fleet(2, 2, 1)
-        val work = mapOf("i-1" to EndpointWork(calls = 3))
+        val work = mapOf("i-1" to RankedWork.of(EndpointWork(calls = 3)))
         fleet.receive(PeerState("edge-1", 2, work = work))
         fleet.receive(PeerState("edge-1", 3, isComplete = false))
         assertEquals(3, fleet.state.loads.getOrCreate("i-1").work().calls)
-        fleet.receive(PeerState("edge-1", 4, isComplete = false, work = mapOf("i-1" to EndpointWork())))
+        fleet.receive(PeerState("edge-1", 4, isComplete = false, work = mapOf("i-1" to RankedWork())))
         assertEquals(0, fleet.state.loads.getOrCreate("i-1").work().calls)
     }
 
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/peers/PeerStateTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/peers/PeerStateTest.kt
@@ -4,6 +4,7 @@
 import org.celerywalk.cache.CacheEvents
 import org.celerywalk.quarantine.PromptPartQuarantine
 import org.celerywalk.routing.EndpointWork
+import org.celerywalk.routing.RankedWork
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -20,8 +21,12 @@
         confirmationAge = 250.milliseconds,
         quotas = mapOf("acme" to 9_000L),
         work = mapOf(
-            "i-1" to EndpointWork(1, 2, 3),
-            "i-2" to EndpointWork(4, 5, 6, deferredPrefillTokens = 7, deferredCalls = 1, deferredCacheTokens = 2),
+            "i-1" to RankedWork.of(EndpointWork(1, 2, 3)),
+            "i-2" to RankedWork(
+                mapOf(
+                    1 to EndpointWork(4, 5, 6, deferredPrefillTokens = 7, deferredCalls = 1, deferredCacheTokens = 2),
+                ),
+            ),
         ),
         versions = mapOf("i-1" to mapOf("m" to 2)),
         changingEndpoints = setOf("i-3"),
@@ -55,11 +60,11 @@
         val next = state.copy(
             number = 8,
             quotas = mapOf("acme" to 9_000L, "other" to 5L),
-            work = mapOf("i-1" to EndpointWork(2, 2, 3)),
+            work = mapOf("i-1" to RankedWork.of(EndpointWork(2, 2, 3))),
         )
         val changes = next.changesSince(state)
         assertEquals(mapOf("other" to 5L), changes.quotas)
-        assertEquals(mapOf("i-1" to EndpointWork(2, 2, 3), "i-2" to EndpointWork()), changes.work)
+        assertEquals(mapOf("i-1" to RankedWork.of(EndpointWork(2, 2, 3)), "i-2" to RankedWork()), changes.work)
         assertTrue(changes.versions.isEmpty() && changes.lastNumbers.isEmpty() && !changes.isComplete)
     }
 
@@ -69,7 +74,7 @@
             val large = state.copy(
                 lastNumbers = List(count) { "edge-$it" to 1L }.toMap(),
                 quotas = List(count) { "account-$it" to 1L }.toMap(),
-                work = List(count) { "i-$it" to EndpointWork(calls = 1) }.toMap(),
+                work = List(count) { "i-$it" to RankedWork.of(EndpointWork(calls = 1)) }.toMap(),
                 versions = List(count) { "i-$it" to mapOf("m" to 1) }.toMap(),
                 placements = emptyList(),
                 cacheEvents = emptyMap(),
--- a/library/src/main/kotlin/org/celerywalk/routing/EndpointLoad.kt
+++ b/library/src/main/kotlin/org/celerywalk/routing/EndpointLoad.kt
@@ -51,6 +51,19 @@
     )
 }
 
+/**
+ * Work at an endpoint as a generation of one rank finds it.
+ *
+ * @property ahead work that a generation in time waits for: that of the same and of more urgent ranks, if not deferred.
+ * @property aheadIfDeferred work that a deferred generation waits for.
+ * @property total all work.
+ */
+public class WorkAhead(
+    public val ahead: EndpointWork,
+    public val aheadIfDeferred: EndpointWork,
+    public val total: EndpointWork,
+)
+
 /**
  * Tracks the work at one endpoint: the exact work of this process and the last reported work of its peers.
  * This class is thread-safe.
@@ -59,16 +72,25 @@
     private val timeSource: TimeSource.WithComparableMarks,
     public val health: EndpointHealth,
 ) {
-    private var localWork = EndpointWork()
-    private val workByPeer = HashMap<String, EndpointWork>()
-    private var totalPeerWork = EndpointWork()
+    private val localWork = Array(Rank.COUNT) { EndpointWork() }
+    private val totalWork = Array(Rank.COUNT) { EndpointWork() }
+    private val workByPeer = HashMap<String, RankedWork>()
     private val serviceTime = DurationMovingAverage(INITIAL_SERVICE_TIME)
     private var weightsVersions = emptyMap<String, Int>()
     private var weightChangeDeadline: ComparableTimeMark? = null
 
     /** Work of the calls of this process. */
     public val ownWork: EndpointWork
-        @Synchronized get() = localWork
+        @Synchronized get() = localWork.fold(EndpointWork(), EndpointWork::plus)
+
+    /** Work of the calls of this process by rank. */
+    public val ownRankedWork: RankedWork
+        @Synchronized get() = RankedWork(
+            localWork.withIndex().filter { it.value.calls > 0 }.associate { it.index to it.value },
+        )
+
+    /** Pace of this endpoint if it is a model replica. */
+    public val firstTokenPace: FirstTokenPace = FirstTokenPace(timeSource)
 
     /** Exponential moving average of the time that calls of this process take to be answered. */
     public val averageServiceTime: Duration
@@ -80,18 +102,38 @@
 
     /** Returns the work of this process and of its peers. */
     @Synchronized
-    public fun work(): EndpointWork = localWork + totalPeerWork
+    public fun work(): EndpointWork = totalWork.fold(EndpointWork(), EndpointWork::plus)
+
+    /** Returns the work of this process and of its peers as a generation of [rank] finds it. */
+    @Synchronized
+    public fun workFor(rank: Int): WorkAhead {
+        var ahead = EndpointWork()
+        var aheadIfDeferred = EndpointWork()
+        var total = EndpointWork()
+        totalWork.forEachIndexed { index, work ->
+            total += work
+            if (index <= rank) {
+                ahead += work.withoutDeferred()
+                aheadIfDeferred += work
+            } else {
+                aheadIfDeferred += work.withoutDeferred()
+            }
+        }
+        return WorkAhead(ahead, aheadIfDeferred, total)
+    }
 
-    /** Adds the work of a call of this process. */
+    /** Adds the work of a call of this process with [rank]. */
     @Synchronized
-    public fun add(work: EndpointWork) {
-        localWork += work
+    public fun add(work: EndpointWork, rank: Int = Rank.MOST_URGENT) {
+        localWork[rank] += work
+        totalWork[rank] += work
     }
 
-    /** Removes the work of a call of this process. */
+    /** Removes the work of a call of this process with [rank]. */
     @Synchronized
-    public fun remove(work: EndpointWork) {
-        localWork -= work
+    public fun remove(work: EndpointWork, rank: Int = Rank.MOST_URGENT) {
+        localWork[rank] -= work
+        totalWork[rank] -= work
     }
 
     /** Records the time that a call took to be answered. */
@@ -102,9 +144,10 @@
 
     /** Records the work that the process [peer] has at this endpoint; replaces its last report. */
     @Synchronized
-    internal fun recordPeerWork(peer: String, work: EndpointWork) {
-        val previousWork = if (work.calls == 0) workByPeer.remove(peer) else workByPeer.put(peer, work)
-        totalPeerWork += (if (work.calls == 0) EndpointWork() else work) - (previousWork ?: EndpointWork())
+    internal fun recordPeerWork(peer: String, work: RankedWork) {
+        val previousWork = if (work.byRank.isEmpty()) workByPeer.remove(peer) else workByPeer.put(peer, work)
+        previousWork?.byRank?.forEach { (rank, part) -> totalWork[rank] -= part }
+        work.byRank.forEach { (rank, part) -> totalWork[rank] += part }
     }
 
     /** Returns the weights version of [model], or null if unknown. It never decreases until the endpoint restarts. */
--- a/library/src/main/kotlin/org/celerywalk/routing/FleetLoads.kt
+++ b/library/src/main/kotlin/org/celerywalk/routing/FleetLoads.kt
@@ -23,10 +23,10 @@
      * @param isComplete true if the peer has no work at other endpoints; false if its work there has not changed.
      */
     @Synchronized
-    public fun recordPeerReport(peer: String, work: Map<String, EndpointWork>, isComplete: Boolean) {
+    public fun recordPeerReport(peer: String, work: Map<String, RankedWork>, isComplete: Boolean) {
         lastReportAtByPeer[peer] = timeSource.markNow()
         if (isComplete) {
-            loads.forEach { (id, load) -> load.recordPeerWork(peer, work[id] ?: EndpointWork()) }
+            loads.forEach { (id, load) -> load.recordPeerWork(peer, work[id] ?: RankedWork()) }
         } else {
             work.forEach { (id, endpointWork) -> loads[id]?.recordPeerWork(peer, endpointWork) }
         }
@@ -38,7 +38,7 @@
         val silentPeers = lastReportAtByPeer.filterValues { it.elapsedNow() > maxAge }.keys
         silentPeers.forEach { peer ->
             lastReportAtByPeer.remove(peer)
-            loads.values.forEach { it.recordPeerWork(peer, EndpointWork()) }
+            loads.values.forEach { it.recordPeerWork(peer, RankedWork()) }
         }
     }
 
--- a/library/src/main/kotlin/org/celerywalk/routing/Generation.kt
+++ b/library/src/main/kotlin/org/celerywalk/routing/Generation.kt
@@ -12,6 +12,7 @@
  * @property outputTokens expected number of tokens of the answer.
  * @property isolatedAccount client account whose cache entries are not shared with other accounts, or null.
  * @property firstTokenTimeLeft time left to reach the target for the time to first token.
+ * @property rank urgency among the generations of a replica; see [Rank].
  * @property isResumed true if the caller has received part of the answer and waits for its continuation.
  */
 public data class Generation(
@@ -21,6 +22,7 @@
     val outputTokens: Int,
     val isolatedAccount: String?,
     val firstTokenTimeLeft: Duration = Duration.INFINITE,
+    val rank: Int = Rank.MOST_URGENT,
     val isResumed: Boolean = false,
 ) {
     /** Parts that other requests may have in common with this one. */
--- a/library/src/main/kotlin/org/celerywalk/routing/ModelReplicaChooser.kt
+++ b/library/src/main/kotlin/org/celerywalk/routing/ModelReplicaChooser.kt
@@ -205,10 +205,13 @@
             val fetch = cache.bestFetch(replica)
             val fetchedTokens = if (fetch == null) 0 else fetch.tokens - cachedPrefixTokens
             val prefillTokens = max(0, generation.promptTokens - cachedPrefixTokens - fetchedTokens)
-            val replicaWork = loads.getOrCreate(replica.id).work()
+            val load = loads.getOrCreate(replica.id)
+            val replicaWork = load.workFor(generation.rank)
             val ownMillis = prefillTokens / prefillTokensPerMilli + (fetch?.millis ?: 0.0) +
-                replicaWork.calls * DECODE_MILLIS_PER_CALL
-            val expectedFirstTokenMillis = ownMillis + waitMillis(replicaWork.withoutDeferred())
+                replicaWork.total.calls * DECODE_MILLIS_PER_CALL
+            val slowdown = load.firstTokenPace.slowdown
+            val expectedFirstTokenMillis =
+                (ownMillis + waitMillis(replicaWork.ahead) + chunkMillis(replicaWork)) * slowdown
             val work =
                 EndpointWork(1, prefillTokens.toLong(), (generation.promptTokens + generation.outputTokens).toLong())
             val placement = Placement(
@@ -223,8 +226,8 @@
             )
             return ScoredPlacement(
                 placement,
-                expectedFirstTokenMillis + penaltyMillis(placement),
-                ownMillis + waitMillis(replicaWork),
+                expectedFirstTokenMillis + penaltyMillis(placement) + preemptionMillis(replicaWork),
+                (ownMillis + waitMillis(replicaWork.aheadIfDeferred)) * slowdown,
             )
         }
 
@@ -238,6 +241,21 @@
                 missingCacheTokens / CACHE_TOKENS_FREED_PER_MILLI + missingSlots * SLOT_WAIT_MILLIS
         }
 
+        // A replica that reads a less urgent prompt finishes the chunk in progress first.
+        private fun chunkMillis(work: WorkAhead): Double {
+            val othersTokens = work.total.queuedPrefillTokens + work.total.deferredPrefillTokens -
+                work.ahead.queuedPrefillTokens
+            return minOf(othersTokens, CHUNK_IN_PROGRESS_TOKENS) / prefillTokensPerMilli
+        }
+
+        // Prompts that lose their KV cache to this generation have to be read again.
+        private fun preemptionMillis(work: WorkAhead): Double {
+            val neededTokens = (generation.promptTokens + generation.outputTokens).toDouble()
+            val missingTokens =
+                work.total.cacheTokens + neededTokens - context.engine.cacheTokens * USABLE_CACHE_SHARE
+            return missingTokens.coerceIn(0.0, neededTokens) / prefillTokensPerMilli
+        }
+
         private fun penaltyMillis(placement: Placement): Double {
             val replica = placement.endpoint
             val supersededPenaltyMillis =
@@ -262,6 +280,9 @@
     }
 
     private companion object {
+        // Half a chunk of 2,048 tokens, which is what remains of one on average.
+        const val CHUNK_IN_PROGRESS_TOKENS = 1_024L
+
         // Each running request makes a decode step longer by this time.
         const val DECODE_MILLIS_PER_CALL = 0.3
 
--- a/library/src/test/kotlin/org/celerywalk/routing/FleetLoadsTest.kt
+++ b/library/src/test/kotlin/org/celerywalk/routing/FleetLoadsTest.kt
@@ -32,7 +32,7 @@
         report("a", calls = 2)
         loads.recordPeerReport("a", emptyMap(), isComplete = false)
         assertEquals(2, load.work().calls)
-        loads.recordPeerReport("a", mapOf("r1" to EndpointWork()), isComplete = false)
+        loads.recordPeerReport("a", mapOf("r1" to RankedWork()), isComplete = false)
         assertEquals(EndpointWork(), load.work())
         report("a", calls = 2)
         loads.recordPeerReport("a", emptyMap(), isComplete = true)
@@ -53,5 +53,5 @@
     }
 
     private fun report(peer: String, calls: Int) =
-        loads.recordPeerReport(peer, mapOf("r1" to EndpointWork(calls = calls)), isComplete = true)
+        loads.recordPeerReport(peer, mapOf("r1" to RankedWork.of(EndpointWork(calls = calls))), isComplete = true)
 }
--- a/library/src/test/kotlin/org/celerywalk/routing/PlacementCostTest.kt
+++ b/library/src/test/kotlin/org/celerywalk/routing/PlacementCostTest.kt
@@ -44,7 +44,7 @@
         val weights = WeightHistory(clock).apply { repeat(2) { recordPublication(it + 1) } }
         val replicas = List(replicaCount) { replica(it) }
         replicas.forEach { loads.getOrCreate(it.id) }
-        val work = replicas.associate { it.id to EndpointWork(calls = 1) }
+        val work = replicas.associate { it.id to RankedWork.of(EndpointWork(calls = 1)) }
         repeat(peerCount) { loads.recordPeerReport("peer-$it", work, isComplete = true) }
         val parts = listOf(PromptPart("a", 2_520), PromptPart("b", 3_780), PromptPart("own", 2_890))
         replicas.forEach { locations.recordSent(it.id, CacheScope.of("m", 2, null), parts) }
