Connect to endpoints on the thread of the request

Cause: OkHttp's fast fallback runs each connect on threads of its own, also where a host has one address. Change: fast fallback is switched off.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/endpoints/EndpointClient.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/endpoints/EndpointClient.kt
@@ -80,6 +80,8 @@
         .retryOnConnectionFailure(false)
         .followRedirects(false)
         .followSslRedirects(false)
+        // An endpoint has one address. Trying several at once would run each connect on threads of its own.
+        .fastFallback(false)
         .connectTimeout(CONNECT_TIMEOUT.inWholeMilliseconds, TimeUnit.MILLISECONDS)
         .writeTimeout(WRITE_TIMEOUT.inWholeMilliseconds, TimeUnit.MILLISECONDS)
         .readTimeout(0, TimeUnit.MILLISECONDS)
