Log the time to the first bytes of each response

Cause: the log had the expected time to first token of a generation, but not what came out. Change: field first_ms of request_sent.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/EndpointSender.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/EndpointSender.kt
@@ -33,6 +33,8 @@
     private val state: FleetState,
     private val context: SendContext,
 ) {
+    private var firstReadAt: Duration? = null
+
     /**
      * Sends the request once to [endpoint]. Blocks until the response is relayed or the send has failed.
      *
@@ -54,12 +56,14 @@
         val claim = SendClaim(call)
         val expectedWeightsVersion = forwarded.generation?.expectedWeightsVersion
         val sentAt = exchange.elapsed()
+        firstReadAt = null
         val timeSinceEvent = { exchange.elapsed() - maxOf(sentAt, relay.lastEventAt) }
         return sendRelocatable(endpoint, claim, tryTakeRelocation) {
             StartDeadline(context.timers, claim, limits.start).use { deadline ->
                 StallDeadline(context.timers, claim, limits.stall, timeSinceEvent).use {
                     sendAndClassify(endpoint, call, claim, expectedWeightsVersion) {
                         deadline.close()
+                        firstReadAt = firstReadAt ?: exchange.elapsed()
                         onBodyRead()
                     }
                 }
@@ -220,6 +224,7 @@
             "endpoint" to endpoint.id,
             "outcome" to outcomeName,
             "reason" to outcome.failureReason,
+            "first_ms" to firstReadAt?.inWholeMilliseconds,
             "ms" to exchange.elapsed().inWholeMilliseconds,
         )
     }
