Let the settings say whether requests are admitted by load

Cause: admission by the load of endpoints is to take effect only where a deployment asks for it. Change: the settings name the parts of the platform's contract that are in force; the adapter translates the one that asks for admission (GatewaySettings.admitsByLoad). Result: compiles, formatter and linter pass; nothing uses it yet.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewaySettings.kt
@@ -23,6 +23,7 @@
  *
  * @property isFirstStart true if the whole fleet starts for the first time, so that no quota has been consumed.
  * @property peerPort UDP port for messages between gateways; the same on all instances.
+ * @property admitsByLoad true if requests are admitted by the load of the endpoints, false to send each at once.
  * @property prefillTokensPerMillisecond prefill throughput of a model replica, in prompt tokens per millisecond.
  */
 public data class GatewaySettings(
@@ -35,6 +36,7 @@
     val peerPort: Int,
     val store: SocketAddress,
     val prefillTokensPerMillisecond: Double,
+    val admitsByLoad: Boolean,
     val bounds: GatewayBounds,
 )
 
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewaySettingsFile.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewaySettingsFile.kt
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException
 import com.fasterxml.jackson.databind.JsonNode
 import com.fasterxml.jackson.dataformat.yaml.YAMLFactory
+import org.celerywalk.platform.wire.DeploymentContracts
 import org.celerywalk.platform.wire.JsonTree
 import java.io.IOException
 import java.nio.file.Files
@@ -45,6 +46,7 @@
             peerPort = number("peer-port").toInt(),
             store = address("store"),
             prefillTokensPerMillisecond = number("prefill-tokens-per-ms"),
+            admitsByLoad = DeploymentContracts.askForAdmission(text("contracts")),
             bounds = GatewayBounds(
                 keyWithdrawal = millis("bounds.key-withdrawal-ms"),
                 stopGrace = number("bounds.stop-grace-s").seconds,
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/GatewayTest.kt
@@ -261,7 +261,7 @@
         register()
         val settings = GatewaySettingsFile.parse(
             """
-            { instance: g, data-centre: dc, first-start: true, prefill-tokens-per-ms: 45, peer-port: ${ports[3]},
+            { instance: g, data-centre: dc, first-start: true, prefill-tokens-per-ms: 45, contracts: pressure, peer-port: ${ports[3]},
               listen: { callers: "127.0.0.1:${ports[0]}", readiness: "127.0.0.1:${ports[1]}",
                         metrics: "127.0.0.1:${ports[2]}" },
               store: "${store.address}",
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/weights/WeightRolloutControllerTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/weights/WeightRolloutControllerTest.kt
@@ -57,6 +57,7 @@
         peerPort = 4,
         store = SocketAddress("127.0.0.1", store.address.substringAfter(':').toInt()),
         prefillTokensPerMillisecond = 45.0,
+        admitsByLoad = true,
         bounds = GatewayBounds(5.seconds, 8.seconds, 0.2, 10.seconds, 56, 3.seconds, 2.seconds, 8.seconds, 0.1),
     )
     private val state = FleetState(settings, TimeSource.Monotonic, { 1 }, { 1.0 })
