Prove that no client takes an odd status or an interim response for final

Covers statuses of 000, 001, 099, 600 and 999, a status of one digit or below zero, interim responses with a body, and interim responses that no final one follows, for the gateway, the engine and service clients of the agent, and the calls to the store and to replicas.

--- a/gateway/src/test/kotlin/org/celerywalk/gateway/MalformedResponseTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/MalformedResponseTest.kt
@@ -22,7 +22,9 @@
     fun `a malformed response is lost, whatever it says`() {
         startWith("once" to "non_idempotent")
         val statements = listOf(SIGNATURE, "X-Not-Executed: 1")
-        statements.flatMap { MalformedResponses.all("{}", listOf(it)) }.forEach { malformed ->
+        val responses = statements.map(::listOf)
+            .flatMap { MalformedResponses.all("{}", it) + MalformedResponses.interimOnly(it) }
+        responses.forEach { malformed ->
             response.set(malformed)
             assertEquals(502, call("once").use { it.code }, malformed)
         }
@@ -31,7 +33,8 @@
     @Test
     fun `a malformed stream never looks complete`() {
         startWith("stream" to "streaming")
-        MalformedResponses.all("data: a\n\n", listOf(SIGNATURE)).forEach { malformed ->
+        val fields = listOf(SIGNATURE)
+        (MalformedResponses.all("data: a\n\n", fields) + MalformedResponses.interimOnly(fields)).forEach { malformed ->
             response.set(malformed)
             val received = Socket("127.0.0.1", fleet.gateway.port).use { caller ->
                 caller.soTimeout = 5_000
--- a/http/src/test/kotlin/org/celerywalk/http/strict/MalformedResponses.kt
+++ b/http/src/test/kotlin/org/celerywalk/http/strict/MalformedResponses.kt
@@ -10,6 +10,11 @@
     public fun sound(body: String, fields: List<String> = emptyList()): List<String> =
         soundTemplates.map { it.fill(body, fields) }
 
+    /** Returns interim responses with further header [fields] that no final response follows. */
+    public fun interimOnly(fields: List<String> = emptyList()): List<String> = interimStatuses.flatMap { status ->
+        listOf("", "Content-Length: 0\r\n").map { "HTTP/1.1 $status OK\r\n{FIELDS}$it\r\n".fill("", fields) }
+    }
+
     private fun String.fill(body: String, fields: List<String>): String =
         replace("{FIELDS}", fields.joinToString("") { "$it\r\n" })
             .replace("{LENGTH}", "${body.length}")
@@ -30,8 +35,14 @@
         "HTTP/1.1\t200 OK",
         "HTTP/1.1 20 OK",
         "HTTP/1.1 2000 OK",
+        "HTTP/1.1 000 OK",
+        "HTTP/1.1 000",
+        "HTTP/1.1 0 OK",
+        "HTTP/1.1 -01 OK",
+        "HTTP/1.1 001 OK",
         "HTTP/1.1 099 OK",
         "HTTP/1.1 600 OK",
+        "HTTP/1.1 999 OK",
         "HTTP/1.1 20x OK",
         "HTTP/1.1 200OK",
         "HTTP/1.1 200\tOK",
@@ -116,13 +127,17 @@
         "{SIZE}\r\n{BODY}\r\n0\r\nX T: t\r\n\r\n",
     ).map { "$STATUS$CHUNKED$it" }
 
+    private val interimStatuses = listOf(100, 102, 103, 199)
+
     private val statusesWithoutBody = listOf(
         "HTTP/1.0 200 OK\r\n{FIELDS}$CHUNKED$CHUNKS",
         "HTTP/1.1 204 None\r\n{FIELDS}$CHUNKED$CHUNKS",
         "HTTP/1.1 204 None\r\n{FIELDS}$LENGTH",
         "HTTP/1.1 304 None\r\n{FIELDS}$CHUNKED$CHUNKS",
         "HTTP/1.1 103 Early\r\n{FIELDS}$LENGTH${STATUS}Content-Length: 0\r\n\r\n",
-    )
+    ) + interimStatuses.flatMap { status ->
+        listOf("\r\n{BODY}", LENGTH, "$CHUNKED$CHUNKS").map { "HTTP/1.1 $status OK\r\n{FIELDS}$it" }
+    }
 
     private val templates = statusLines + lines + lineEnds + lengths + codings + chunks + statusesWithoutBody
 
--- a/runtime/src/test/kotlin/org/celerywalk/engine/EngineStreamEndTest.kt
+++ b/runtime/src/test/kotlin/org/celerywalk/engine/EngineStreamEndTest.kt
@@ -74,6 +74,7 @@
         val fields = listOf(EVENT_STREAM)
         val malformed = MalformedResponses.all(stream, fields)
         malformed.forEach { assertEquals("failed", endOf(RawServer(it)), it) }
+        MalformedResponses.interimOnly(fields).forEach { assertEquals("failed", endOf(RawServer(it)), it) }
         val sound = MalformedResponses.sound(stream, fields)
         sound.forEach { assertEquals("1 tokens: one", endOf(RawServer(it)), it) }
     }
--- a/runtime/src/test/kotlin/org/celerywalk/http/MalformedServiceResponseTest.kt
+++ b/runtime/src/test/kotlin/org/celerywalk/http/MalformedServiceResponseTest.kt
@@ -13,6 +13,10 @@
     fun `a malformed response is no answer`() =
         MalformedResponses.all("{}").forEach { assertEquals(Execution.UNKNOWN.name, answerTo(it), it) }
 
+    @Test
+    fun `an interim response without a final one is no answer`() =
+        MalformedResponses.interimOnly().forEach { assertEquals(Execution.UNKNOWN.name, answerTo(it), it) }
+
     @Test
     fun `an unusual but sound response is the answer`() =
         MalformedResponses.sound("{}").forEach { assertEquals("{}", answerTo(it), it) }
