Treat a service reply with an impossible status as lost in the entry

A caller of a plain service got no response, until it gave up or the connection timed out, if an agent's reply named a status below 200 or above 599: Jetty fails on a status that HTTP does not have, and waits for the final response after an interim one. The entry now answers 502 "service_answer_lost", with the execution unknown.

Before the change, the test in `ServiceTest` failed with "SocketTimeoutException: timeout" at the status -1.

--- a/entry/src/main/kotlin/org/celerywalk/entry/service/AgentServiceClient.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/service/AgentServiceClient.kt
@@ -108,21 +108,27 @@
 
     private fun BookingReply.toOutcome(): Either<Problem, ServiceAnswer> = when (val recordedAnswer = answer) {
         null -> buildProblem(execution, code, message, retryAfter).left()
-        else -> buildAnswer(recordedAnswer.status, recordedAnswer.headers, recordedAnswer.body).right()
+        else -> buildAnswer(recordedAnswer.status, recordedAnswer.headers, recordedAnswer.body)
     }
 
     private fun ServiceReply.toOutcome(): Either<Problem, ServiceAnswer> = if (status != 0) {
-        buildAnswer(status, headersList.map { it.name to it.value }, body.toByteArray()).right()
+        buildAnswer(status, headersList.map { it.name to it.value }, body.toByteArray())
     } else {
         val retryAfter = retryAfterMillis.takeIf { it > 0 }?.milliseconds
         buildProblem(execution.toExecution(), code, message, retryAfter).left()
     }
 
-    private fun buildAnswer(status: Int, headers: List<Pair<String, String>>, body: ByteArray) = ServiceAnswer(
-        status,
-        allowedHeaders(headers, RETURNED_HEADERS) + (EXECUTION_HEADER to Execution.RAN.wireName),
-        body,
-    )
+    // Jetty fails on a status that HTTP does not have, and on an interim one waits for the final response.
+    private fun buildAnswer(
+        status: Int,
+        headers: List<Pair<String, String>>,
+        body: ByteArray,
+    ): Either<Problem, ServiceAnswer> = if (status in FINAL_STATUSES) {
+        val fields = allowedHeaders(headers, RETURNED_HEADERS) + (EXECUTION_HEADER to Execution.RAN.wireName)
+        ServiceAnswer(status, fields, body).right()
+    } else {
+        buildProblem(Execution.UNKNOWN, "service_answer_lost", "the agent named the status $status", null).left()
+    }
 
     private fun buildProblem(execution: Execution, code: String, message: String, retryAfter: Duration?) = Problem(
         status = if (execution == Execution.NOT_RUN) HttpStatus.SERVICE_UNAVAILABLE else HttpStatus.BAD_GATEWAY,
@@ -136,6 +142,7 @@
     private companion object {
         const val MAX_ATTEMPTS = 3
         const val EXECUTION_HEADER = "x-execution"
+        val FINAL_STATUSES = 200..599
         val ATTEMPT_LIFETIME = 30.seconds
         val CALL_TIMEOUT = 30.seconds
 
--- a/entry/src/test/kotlin/org/celerywalk/entry/ServiceTest.kt
+++ b/entry/src/test/kotlin/org/celerywalk/entry/ServiceTest.kt
@@ -94,6 +94,17 @@
         }
     }
 
+    // Guards against a caller that gets a status which HTTP does not have, or an interim one, as the final response.
+    @Test
+    fun `an agent's reply with a status that no final response has counts as lost`() {
+        listOf(-1, 0, 1, 99, 100, 101, 103, 199, 600, 999, 1_000).forEach { status ->
+            agents.forEach { agent ->
+                agent.onServiceCall = { FakeAgent.okReply(it, "done").toBuilder().setStatus(status).build() }
+            }
+            entry.post("/services/swaps", "{}", KEY, IDEMPOTENCY_KEY).use { assertEquals(502, it.code, "$status") }
+        }
+    }
+
     private companion object {
         val KEY = "Authorization" to "Bearer ${EntryFixture.KEY}"
         val IDEMPOTENCY_KEY = "Idempotency-Key" to "b-1"
