Bound what slow readers hold, and cut off responses that are left unread

A stream whose caller did not read put 3.8 MB into the buffers of the operating system on its way, and 100 such streams 395 MB; the instance has 258 MB. The request's thread and the response at the endpoint were held meanwhile, until the caller left or Jetty's timeout of 60 s (by the configuration; not measured).

The connections to callers and endpoints now have buffers of fixed sizes, so that back pressure reaches the endpoint early. The task that detects disconnects also resets a connection that has taken no byte of a waiting write for 10 s, with the log line `response_unread` and the metric `celerywalk_responses_unread_total`. No timer or thread is added.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayMetrics.kt
@@ -47,6 +47,9 @@
         incrementCounter("celerywalk.peer.bytes", "direction", direction, by = bytes.toLong())
     }
 
+    /** Records a response that was cut off because its caller left it unread. */
+    public fun recordUnreadResponse(): Unit = incrementCounter("celerywalk.responses.unread")
+
     /** Records a poll of the cache events of one holder. */
     public fun recordCachePoll(): Unit = incrementCounter("celerywalk.cache.polls")
 
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/callers/CallerExchange.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/callers/CallerExchange.kt
@@ -28,6 +28,9 @@
     /** The caller closed its connection. */
     CALLER_LEFT,
 
+    /** The caller left the response unread. */
+    LEFT_UNREAD,
+
     /** The caller's deadline or the route's timeout has passed. */
     TIME_IS_UP,
 
@@ -109,9 +112,9 @@
         bodyDrain.discardArrived()
     }
 
-    /** Cancels the request from now on if the caller closes the connection. */
+    /** Cancels the request from now on if the caller closes the connection or leaves the response unread. */
     fun watchForDisconnect() {
-        endPoint.watchForDisconnect { cancel(CancelReason.CALLER_LEFT) }
+        endPoint.watchForDisconnect({ cancel(CancelReason.LEFT_UNREAD) }) { cancel(CancelReason.CALLER_LEFT) }
     }
 
     fun stopWatching() {
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/callers/DisconnectDetectingEndPoint.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/callers/DisconnectDetectingEndPoint.kt
@@ -13,6 +13,7 @@
 import java.nio.channels.SocketChannel
 import java.util.concurrent.Executor
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeMark
 import kotlin.time.TimeSource
 
@@ -30,10 +31,21 @@
         key: SelectionKey,
     ): GracefulEndPoint =
         DisconnectDetectingEndPoint(channel, selector, key, ReadContext(scheduler, timeSource, executor)) { isClosing }
+            .also { channel.setOption(StandardSocketOptions.SO_SNDBUF, SEND_BUFFER_BYTES) }
 
-    /** Reports the disconnects since the last call on all connections. Must be called on one thread only. */
+    /**
+     * Reports the disconnects since the last call on all connections, and cuts off responses that are left unread. Must
+     * be called on one thread only.
+     */
     fun detectDisconnects() = connectedEndPoints.forEach {
         (it as DisconnectDetectingEndPoint).detectDisconnect(readAheadBuffer)
+        it.cutOffUnread()
+    }
+
+    private companion object {
+        // Linux doubles this. By default it lets the buffer of a caller that does not read grow to 4 MB, which 200 open
+        // requests do not have.
+        const val SEND_BUFFER_BYTES = 64 * 1024
     }
 }
 
@@ -65,6 +77,14 @@
     @Volatile
     private var onDisconnect: (() -> Unit)? = null
 
+    @Volatile
+    private var onUnread: (() -> Unit)? = null
+
+    // Time since which the connection has taken no byte of a write, or null if no write waits.
+    @Volatile
+    private var blockedSince: TimeMark? = null
+    private var overdueSince: TimeMark? = null
+
     override val hasBytesAhead: Boolean get() = synchronized(lock) { bytesReadAhead.hasRemaining() }
 
     /** True if the connection is reset when it is closed, also by the end of this process. */
@@ -87,13 +107,19 @@
      * Lets [detectDisconnect] call [onDisconnect] once the caller has closed the connection, until [stopWatching].
      *
      * Jetty must not read from the connection in between, since it would not learn of bytes that were read ahead.
+     *
+     * @param onUnread called by [cutOffUnread] before it cuts off the response.
      */
-    fun watchForDisconnect(onDisconnect: () -> Unit) {
+    fun watchForDisconnect(onUnread: () -> Unit = {}, onDisconnect: () -> Unit) {
+        this.onUnread = onUnread
         this.onDisconnect = onDisconnect
     }
 
     /** Stops watching; the connection is not read ahead from now on. */
-    fun stopWatching() = synchronized(lock) { onDisconnect = null }
+    fun stopWatching() = synchronized(lock) {
+        onDisconnect = null
+        onUnread = null
+    }
 
     /** Reads ahead on a watched connection, by means of [buffer], and reports its end. Does not block. */
     fun detectDisconnect(buffer: ByteBuffer) {
@@ -105,6 +131,37 @@
         report?.invoke()
     }
 
+    /**
+     * Resets a watched connection that has taken no byte of a write for [UNREAD_LIMIT], so that the write fails.
+     *
+     * A close without a reset would leave the unread bytes in the system's buffer. The limit must be exceeded at two
+     * calls in a row: after a freeze of this process, the connection may take bytes that were not offered to it.
+     */
+    fun cutOffUnread() {
+        val overdue = blockedSince?.takeIf { it.elapsedNow() >= UNREAD_LIMIT }
+        val isUnread = overdue != null && overdue == overdueSince
+        overdueSince = overdue
+        val report = if (isUnread) synchronized(lock) { onUnread.also { onUnread = null } } else null
+        report?.let {
+            it()
+            resetsOnClose = true
+            close()
+        }
+    }
+
+    // The array is that of Jetty's write, which has at most three buffers.
+    @Suppress("SpreadOperator")
+    override fun flush(vararg buffers: ByteBuffer): Boolean {
+        val bytesBefore = buffers.sumOf { it.remaining() }
+        val isComplete = super.flush(*buffers)
+        when {
+            isComplete -> blockedSince = null
+            blockedSince == null || buffers.sumOf { it.remaining() } < bytesBefore ->
+                blockedSince = context.timeSource.markNow()
+        }
+        return isComplete
+    }
+
     override fun fill(buffer: ByteBuffer): Int = synchronized(lock) {
         when {
             bytesReadAhead.hasRemaining() -> BufferUtil.append(buffer, bytesReadAhead)
@@ -138,6 +195,15 @@
         /** Number of bytes after which a connection is not read ahead any further. */
         const val READ_AHEAD_BYTES = 8 * 1024
 
+        /**
+         * Time after which a response that its caller leaves unread is cut off.
+         *
+         * The gateway learns that a caller reads only when the caller's system announces space. With Linux's default
+         * receive buffer, a caller that reads 20 KB/s announces 120 KB every 6 s, so 5 s cut off callers that read
+         * steadily. At 10 s, the same step allows 12 KB/s, and smaller buffers allow less.
+         */
+        val UNREAD_LIMIT = 10.seconds
+
         private const val END_OF_INPUT = -1
 
         // Value of SO_LINGER that lets a close send the remaining bytes.
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/callers/RequestHandler.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/callers/RequestHandler.kt
@@ -62,7 +62,7 @@
                 }
             }
         } catch (e: IOException) {
-            log.write("caller_gone", "id" to exchange.caller.attemptId, "cause" to e.message)
+            recordCallerGone(exchange, e)
             exchange.response.abort()
         } catch (e: Throwable) {
             log.write("request_failed", "id" to exchange.caller.attemptId, "cause" to e.toString())
@@ -116,6 +116,16 @@
         recordDone(exchange, "none", ForwardingResult(refusal.reason, null, RetryObstacle.COMPLETE), emptyList())
     }
 
+    private fun recordCallerGone(exchange: CallerExchange, cause: IOException) {
+        val id = exchange.caller.attemptId
+        if (exchange.cancelReason == CancelReason.LEFT_UNREAD) {
+            metrics.recordUnreadResponse()
+            log.write("response_unread", "id" to id, "ms" to exchange.elapsed().inWholeMilliseconds)
+        } else {
+            log.write("caller_gone", "id" to id, "cause" to cause.message)
+        }
+    }
+
     private fun recordDone(
         exchange: CallerExchange,
         route: String,
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/endpoints/EndpointClient.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/endpoints/EndpointClient.kt
@@ -11,6 +11,7 @@
 import okhttp3.RequestBody
 import okhttp3.RequestBody.Companion.toRequestBody
 import okhttp3.Response
+import org.celerywalk.http.strict.SocketBuffers
 import org.celerywalk.http.strict.acceptOnlySoundResponses
 import java.io.IOException
 import java.net.ConnectException
@@ -85,7 +86,7 @@
         .readTimeout(0, TimeUnit.MILLISECONDS)
         .eventListener(SendListener())
         .addNetworkInterceptor(takeRetryAfter)
-        .acceptOnlySoundResponses()
+        .acceptOnlySoundResponses(BUFFERS)
         .build()
 
     /**
@@ -159,6 +160,12 @@
         // The network delay to endpoints is 1 to 2 ms; one that does not accept within this time is down or overloaded.
         val CONNECT_TIMEOUT = 300.milliseconds
         val WRITE_TIMEOUT = 5.seconds
+
+        // By default, the operating system lets the buffer of a response that is not read grow to 6 MB and that of a
+        // request to 4 MB, which 200 open requests do not have. It reports space for a request only once a third of the
+        // buffer is free, so that a slow endpoint would run into the write timeout. The receive buffer allows 16 MB/s
+        // at a network delay of 2 ms.
+        val BUFFERS = SocketBuffers(receiveBytes = 32 * 1024, sendBytes = 64 * 1024)
         val SECOND_CONNECT_DELAY = 20.milliseconds
     }
 }
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/TestFleet.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/TestFleet.kt
@@ -64,9 +64,10 @@
             type: String,
             fields: String = "\"max_attempts\":1",
             service: String = SERVICE,
+            timeoutMillis: Int = 5_000,
         ): String =
-            """{"name":"$name","hostname":"127.0.0.1","prefix":"/$name/","backend":"$service","timeout_ms":5000,
-                "type":"$type",$fields}"""
+            """{"name":"$name","hostname":"127.0.0.1","prefix":"/$name/","backend":"$service",
+                "timeout_ms":$timeoutMillis,"type":"$type",$fields}"""
     }
 }
 
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/callers/DisconnectDetectingEndPointTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/callers/DisconnectDetectingEndPointTest.kt
@@ -23,7 +23,7 @@
     private val time = TestTimeSource()
     private val unstarted = UnstartedSelector()
     private val endPoint = DisconnectDetectingEndPoint(
-        ScriptedSocketChannel(::receive),
+        ScriptedSocketChannel(::send, ::receive),
         unstarted.selector,
         unstarted.key,
         ReadContext(unstarted.scheduler, time, Runnable::run),
@@ -33,6 +33,8 @@
     private var isClosed = false
     private val readAheadBuffer = BufferUtil.allocate(DisconnectDetectingEndPoint.READ_AHEAD_BYTES)
     private var isDisconnected = false
+    private var isUnread = false
+    private var room = 0
 
     @Test
     fun `a read that overlaps a read-ahead gets the bytes in the order in which they were sent`() {
@@ -77,7 +79,7 @@
     fun `a connection is not closed as idle between the read-ahead of a request and its handling`() {
         val tasks = ArrayDeque<Runnable>()
         val closing = DisconnectDetectingEndPoint(
-            ScriptedSocketChannel(::receive),
+            ScriptedSocketChannel(receive = ::receive),
             unstarted.selector,
             unstarted.key,
             ReadContext(unstarted.scheduler, time, tasks::add),
@@ -129,6 +131,38 @@
         assertEquals(12, incoming.size)
     }
 
+    /** Guards against a caller that is cut off although it reads, and one that is not although it does not read. */
+    @Test
+    fun `a connection is cut off only if it has taken no byte for the limit`() {
+        endPoint.watchForDisconnect({ isUnread = true }) { isDisconnected = true }
+        val outcomes = listOf(1 to 9.seconds, 1 to 9.seconds, 64 to 30.seconds, 0 to 9.seconds, 0 to 1.seconds)
+            .map { (taken, duration) ->
+                room = taken
+                endPoint.flush(ByteBuffer.allocate(64))
+                time += duration
+                repeat(2) { endPoint.cutOffUnread() }
+                isUnread.also { isUnread = false }
+            }
+        assertEquals(listOf(false, false, false, false, true), outcomes)
+        assertFalse(isDisconnected || endPoint.isOpen)
+    }
+
+    /** Guards against a caller that is cut off after a freeze of the gateway, before it is offered the next bytes. */
+    @Test
+    fun `a connection is not cut off at the first check that finds it overdue`() {
+        endPoint.watchForDisconnect({ isUnread = true }) { isDisconnected = true }
+        endPoint.flush(ByteBuffer.allocate(64))
+        time += 60.seconds
+        endPoint.cutOffUnread()
+        room = 1
+        endPoint.flush(ByteBuffer.allocate(64))
+        endPoint.cutOffUnread()
+        assertFalse(isUnread)
+    }
+
+    private fun send(source: ByteBuffer): Int =
+        minOf(room, source.remaining()).also { source.position(source.position() + it) }
+
     private fun fill(): String =
         BufferUtil.allocate(64 * 1024).also(endPoint::fill).let { Charsets.ISO_8859_1.decode(it).toString() }
 
--- a/http/src/main/kotlin/org/celerywalk/http/strict/StrictResponses.kt
+++ b/http/src/main/kotlin/org/celerywalk/http/strict/StrictResponses.kt
@@ -24,9 +24,11 @@
  * and the end of the response can't be told from the end of the connection.
  *
  * OkHttp reads the line before a chunk into memory, however long it is.
+ *
+ * @param buffers buffers of each connection, or null for the choice of the operating system.
  */
-public fun OkHttpClient.Builder.acceptOnlySoundResponses(): OkHttpClient.Builder =
-    socketFactory(CheckingSocketFactory).addNetworkInterceptor(CheckingInterceptor)
+public fun OkHttpClient.Builder.acceptOnlySoundResponses(buffers: SocketBuffers? = null): OkHttpClient.Builder =
+    socketFactory(CheckingSocketFactory(buffers)).addNetworkInterceptor(CheckingInterceptor)
 
 private class CheckingSocket : Socket() {
     private val syntax = ResponseSyntax()
@@ -110,8 +112,13 @@
     }
 }
 
-private object CheckingSocketFactory : SocketFactory() {
-    override fun createSocket(): Socket = CheckingSocket()
+private class CheckingSocketFactory(private val buffers: SocketBuffers?) : SocketFactory() {
+    override fun createSocket(): Socket = CheckingSocket().also {
+        if (buffers != null) {
+            it.receiveBufferSize = buffers.receiveBytes
+            it.sendBufferSize = buffers.sendBytes
+        }
+    }
 
     override fun createSocket(host: String, port: Int): Socket = unconnectedOnly()
 
--- a/http/src/test/kotlin/org/celerywalk/http/server/ScriptedSocketChannel.kt
+++ b/http/src/test/kotlin/org/celerywalk/http/server/ScriptedSocketChannel.kt
@@ -7,16 +7,18 @@
 import java.nio.channels.SocketChannel
 import java.nio.channels.spi.SelectorProvider
 
-/** Test double of a connected socket whose bytes come from [receive]; it can neither write nor connect. */
-public class ScriptedSocketChannel(private val receive: (ByteBuffer) -> Int) :
-    SocketChannel(SelectorProvider.provider()) {
+/** Test double of a connected socket whose bytes come from [receive] and go to [send]; it can't connect. */
+public class ScriptedSocketChannel(
+    private val send: (ByteBuffer) -> Int = { throw UnsupportedOperationException("the script has no write") },
+    private val receive: (ByteBuffer) -> Int,
+) : SocketChannel(SelectorProvider.provider()) {
     override fun read(target: ByteBuffer): Int = receive(target)
 
     override fun read(targets: Array<out ByteBuffer>, offset: Int, length: Int): Long = unsupported()
 
-    override fun write(source: ByteBuffer): Int = unsupported()
+    override fun write(source: ByteBuffer): Int = send(source)
 
-    override fun write(sources: Array<out ByteBuffer>, offset: Int, length: Int): Long = unsupported()
+    override fun write(sources: Array<out ByteBuffer>, offset: Int, length: Int): Long = send(sources[offset]).toLong()
 
     override fun bind(local: SocketAddress?): SocketChannel = unsupported()
 
