--- a/library/src/main/kotlin/org/celerywalk/routing/FleetLoads.kt
+++ b/library/src/main/kotlin/org/celerywalk/routing/FleetLoads.kt
@@ -42,6 +42,10 @@
         }
     }
 
+    /** Returns the age of the last report of the peer that has been silent for longest, or null without peers. */
+    @Synchronized
+    public fun oldestPeerReportAge(): Duration? = lastReportAtByPeer.values.maxOfOrNull { it.elapsedNow() }
+
     /** Removes the load of the endpoint [id]. */
     public fun remove(id: String) {
         loads.remove(id)
