Let calls to plain services wait for room at the gateway

Cause: a call beyond the capacity of its service costs a send, a rejection and a retry, or waits at the endpoint without order. Change: ServiceCallGate admits calls to endpoints that register slots; a call without room blocks its own thread until a call ends. A place at an endpoint ends with the endpoint's answer, not with the caller's reading. Metrics and log lines.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/FleetState.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/FleetState.kt
@@ -8,6 +8,7 @@
 import org.celerywalk.gateway.store.RegistrySync
 import org.celerywalk.key.AccountKeys
 import org.celerywalk.key.StoreConfirmation
+import org.celerywalk.limit.EndpointCapacities
 import org.celerywalk.limit.RetryBudget
 import org.celerywalk.quarantine.PromptPartQuarantine
 import org.celerywalk.route.RouteTable
@@ -55,6 +56,7 @@
         REREGISTRATION_GRACE,
     )
     val loads = FleetLoads(timeSource)
+    val capacities = EndpointCapacities(timeSource)
     val locations = PartLocations(timeSource, SENT_PART_TTL)
     val streams = RelocatableStreams(timeSource)
     val quarantine = PromptPartQuarantine(timeSource)
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
@@ -8,12 +8,14 @@
 import org.celerywalk.gateway.callers.StatusPages
 import org.celerywalk.gateway.endpoints.CacheEventSubscriptions
 import org.celerywalk.gateway.endpoints.EndpointClient
+import org.celerywalk.gateway.forwarding.CallGateEvents
 import org.celerywalk.gateway.forwarding.EndpointChoosers
 import org.celerywalk.gateway.forwarding.ForwardingContext
 import org.celerywalk.gateway.forwarding.GenerationPlacer
 import org.celerywalk.gateway.forwarding.QuarantineEnforcer
 import org.celerywalk.gateway.forwarding.ResponseMemory
 import org.celerywalk.gateway.forwarding.SendContext
+import org.celerywalk.gateway.forwarding.ServiceCallGate
 import org.celerywalk.gateway.peers.Membership
 import org.celerywalk.gateway.peers.PeerExchange
 import org.celerywalk.gateway.peers.StoreLink
@@ -81,6 +83,9 @@
     }.apply { removeOnCancelPolicy = true }
     private val plannedStop =
         PlannedStop(timeSource, BALANCER_REACTION_TIME, settings.bounds.stopGrace - STOP_MARGIN)
+    private val serviceChooser: ServiceEndpointChooser =
+        ServiceEndpointChooser(state.loads, settings.dataCentre, state.capacities, { membership.gatewayCount })
+    private val callGate = ServiceCallGate(state, serviceChooser, CallGateEvents(state, log, metrics))
     private val handler = RequestHandler(state, createForwardingContext(), log, metrics, plannedStop)
     private val server = GatewayServer(settings, handler, Pages(), log, callersSocket)
 
@@ -100,6 +105,8 @@
             state.confirmation.age()?.inWholeMilliseconds ?: -1
         }
         metrics.registerGauge("celerywalk.quarantine.parts") { state.quarantine.quarantinedParts.size }
+        metrics.registerGauges("celerywalk.endpoint.limit", "endpoint") { callGate.limits }
+        metrics.registerGauges("celerywalk.calls.waiting", "service") { callGate.waitingCalls }
         val threadTimes = ThreadProcessorTimes()
         metrics.registerGauges("celerywalk.processor.seconds", "threads") {
             threadTimes.timeByGroup().mapValues { (_, time) -> time.toDouble(DurationUnit.SECONDS) }
@@ -155,7 +162,8 @@
             SendContext(client, replicas, log, metrics, ResponseMemory(), timers),
             EndpointChoosers(
                 GenerationPlacer(state, chooser, log, peers::announcePlacement),
-                ServiceEndpointChooser(state.loads, settings.dataCentre),
+                serviceChooser,
+                callGate,
             ),
             QuarantineEnforcer(state, client, log) { membership.reachablePeers },
         )
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayMetrics.kt
@@ -38,6 +38,10 @@
     public fun recordSend(service: String, outcome: String): Unit =
         incrementCounter("celerywalk.sends", "service", service, "outcome", outcome)
 
+    /** Records that a call to [service] was refused because its endpoints had no room. */
+    public fun recordCallRefusal(service: String, reason: String): Unit =
+        incrementCounter("celerywalk.call.refusals", "service", service, "reason", reason)
+
     /** Records a call to the platform's store. */
     public fun recordStoreCall(step: String): Unit = incrementCounter("celerywalk.store.calls", "step", step)
 
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/ForwardingContext.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/ForwardingContext.kt
@@ -18,8 +18,18 @@
     val random: Random = Random.Default,
 )
 
-/** Choosers of endpoints: [generations] for model replicas, [services] for services without an engine. */
-internal class EndpointChoosers(val generations: GenerationPlacer, val services: ServiceEndpointChooser)
+/**
+ * Choosers of endpoints.
+ *
+ * @property generations chooser of model replicas.
+ * @property services chooser of endpoints of services without an engine.
+ * @property calls gate to endpoints of services without an engine that have registered slots.
+ */
+internal class EndpointChoosers(
+    val generations: GenerationPlacer,
+    val services: ServiceEndpointChooser,
+    val calls: ServiceCallGate,
+)
 
 /**
  * Dependencies of a send to an endpoint.
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/RequestForwarder.kt
@@ -8,7 +8,6 @@
 import org.celerywalk.platform.wire.ForwardedRequest
 import org.celerywalk.route.RequestKind
 import org.celerywalk.route.selectService
-import org.celerywalk.routing.EndpointWork
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -39,8 +38,9 @@
     private val quarantine = context.quarantine.begin(exchange.caller)
     private val retries = RequestRetries(exchange, route, budget, relay, ::timeLeft)
     private val isStream = route.kind == RequestKind.STREAMING
-    private val isGeneration = exchange.caller.model != null &&
-        admitted.activeConfiguration.configuration.services[service]?.engine != null
+    private val hasEngine = admitted.activeConfiguration.configuration.services[service]?.engine != null
+    private val isGeneration = exchange.caller.model != null && hasEngine
+    private val serviceCalls = ServiceCallPlacer(exchange, admitted, service, hasEngine, context)
     private var lastServerError: BufferedResponse? = null
 
     /** IDs of the endpoints that the request was sent to, in order. */
@@ -82,16 +82,15 @@
             is PlacementDecision.Refused -> AttemptOutcome.Rejected(decision.reason, decision.retryAfter)
         }
 
-    private fun sendToServiceEndpoint(candidates: List<RegisteredEndpoint>): AttemptOutcome {
-        val endpoint = context.choosers.services.choose(candidates)
-        val expectedDuration = endpoint?.let(context.choosers.services::expectedDuration)
-        return when {
-            endpoint == null || expectedDuration == null -> AttemptOutcome.Rejected("no_endpoint", DEFAULT_RETRY_AFTER)
-            expectedDuration > timeLeft() -> AttemptOutcome.Rejected("overloaded", expectedDuration / 2)
-            else -> LoadReservation(context.state.loads.getOrCreate(endpoint.id), SINGLE_CALL)
-                .use { send(endpoint, null, null) {} }
+    private fun sendToServiceEndpoint(candidates: List<RegisteredEndpoint>): AttemptOutcome =
+        when (val decision = serviceCalls.place(candidates, timeLeft())) {
+            is GateDecision.Admitted -> decision.pass.use { pass ->
+                send(pass.endpoint, null, null) { if (!isStream) pass.recordAnswerRead() }
+                    .also { pass.recordOutcome(it, exchange.cancelReason) }
+            }
+            is GateDecision.Refused -> AttemptOutcome.Rejected(decision.reason, decision.retryAfter)
+            is GateDecision.Cancelled -> AttemptOutcome.Cancelled
         }
-    }
 
     // Called by other threads. A gateway that stops may end before another endpoint has sent the rest of a stream.
     private fun canGoOnElsewhere(sentIds: List<String>): Boolean {
@@ -101,8 +100,7 @@
         return if (isGeneration) {
             context.choosers.generations.canPlace(exchange, admitted, service, free, timeLeft())
         } else {
-            context.choosers.services.choose(free)
-                ?.let { context.choosers.services.expectedDuration(it) <= timeLeft() } ?: false
+            serviceCalls.canPlace(free, timeLeft())
         }
     }
 
@@ -179,8 +177,6 @@
         const val UNAVAILABLE = 503
         const val BAD_GATEWAY = 502
         const val GATEWAY_TIMEOUT = 504
-        val SINGLE_CALL = EndpointWork(calls = 1)
-
         val DEFAULT_RETRY_AFTER = 300.milliseconds
 
         // Subtracted from the endpoint's deadline, so that its response can still reach the caller.
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/store/RegistrySync.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/store/RegistrySync.kt
@@ -53,6 +53,7 @@
             change.removed.forEach {
                 logEndpoint("endpoint_removed", it)
                 state.loads.remove(it.id)
+                state.capacities.remove(it.id)
                 state.locations.remove(it.id)
             }
         }
