--- a/gateway/src/test/kotlin/org/celerywalk/gateway/TestGateway.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/TestGateway.kt
@@ -69,6 +69,12 @@
     /** Stops the gateway as its process does after a signal, and returns when it has stopped. */
     fun stop() = daemon.stop()
 
+    /** Returns the metrics of the gateway in the text format of Prometheus. */
+    fun metrics(): String {
+        val request = Request.Builder().url("http://127.0.0.1:${ports[2]}/metrics").build()
+        return client.newCall(request).execute().use { it.body.string() }
+    }
+
     /** Returns true if the gateway reports that it can serve callers. */
     fun isReady(): Boolean {
         val request = Request.Builder().url("http://127.0.0.1:${ports[1]}/").build()
--- a/library/src/main/kotlin/org/celerywalk/limit/AdaptiveConcurrencyLimit.kt
+++ b/library/src/main/kotlin/org/celerywalk/limit/AdaptiveConcurrencyLimit.kt
@@ -9,9 +9,9 @@
 /**
  * Limits the calls in flight at one endpoint to its measured capacity. Thread-safe.
  *
- * A rejection lowers the limit at once. Otherwise, windows of answered calls are compared with the mean duration at the
- * endpoint while it is not overloaded: if the calls of a window took longer, the limit falls in proportion to the
- * gradient; if they did not and used the whole limit, it rises by one call.
+ * Works on windows of ended calls. If a considerable share was rejected, the limit falls. Otherwise, the mean duration
+ * is compared with that of earlier windows: if the calls took longer, the limit falls in proportion to the gradient; if
+ * they did not and used the whole limit, it rises by one call.
  *
  * @param slots number of calls that the endpoint says it runs at once; the initial limit, at least 1.
  */
@@ -23,9 +23,10 @@
         var samples = 0
         var total = Duration.ZERO
         var peakInFlight = 0
-        var hasRejection = false
+        var rejections = 0
     }
 
+    private val minLimit = (slots * FLOOR_SHARE).coerceAtLeast(1.0)
     private var current = slots.toDouble()
     private var baseline: Duration? = null
     private var window = Window(timeSource.markNow())
@@ -46,22 +47,15 @@
     public fun recordSample(duration: Duration, inFlight: Int, wasRejected: Boolean) {
         window.peakInFlight = maxOf(window.peakInFlight, inFlight)
         if (wasRejected) {
-            recordRejection()
+            window.rejections++
+            rejectedAt = timeSource.markNow()
         } else {
             window.samples++
             window.total += duration
         }
         val age = window.startedAt.elapsedNow()
-        if (age >= MAX_WINDOW || age >= MIN_WINDOW && window.samples >= MIN_SAMPLES) closeWindow()
-    }
-
-    private fun recordRejection() {
-        window.hasRejection = true
-        val lastRejection = rejectedAt
-        // Calls that were sent together are rejected together, which shows only one excess.
-        if (lastRejection != null && lastRejection.elapsedNow() < REJECTION_INTERVAL) return
-        rejectedAt = timeSource.markNow()
-        current = (current * REJECTION_FACTOR).coerceAtLeast(1.0)
+        val isLarge = window.samples + window.rejections >= MIN_SAMPLES
+        if (age >= MAX_WINDOW || age >= MIN_WINDOW && isLarge) closeWindow()
     }
 
     private fun closeWindow() {
@@ -69,10 +63,11 @@
         window = Window(timeSource.markNow())
         val gradient = if (closed.samples >= MIN_SAMPLES) updateGradient(closed.total / closed.samples) else 1.0
         val isUsed = closed.peakInFlight + 1 >= current.toInt()
-        val latencyFloor = minOf(current, (slots * LATENCY_FLOOR_SHARE).coerceAtLeast(1.0))
+        val rejectedShare = closed.rejections.toDouble() / (closed.rejections + closed.samples)
         current = when {
-            closed.hasRejection -> current
-            gradient < 1 -> (current * (1 + (gradient - 1) * GRADIENT_GAIN)).coerceAtLeast(latencyFloor)
+            rejectedShare > FULL_SHARE -> (current * FULL_FACTOR).coerceAtLeast(1.0)
+            rejectedShare > EXCESS_SHARE -> (current - EXCESS_STEP).coerceAtLeast(minOf(current, minLimit))
+            gradient < 1 -> (current * (1 + (gradient - 1) * GRADIENT_GAIN)).coerceAtLeast(minOf(current, minLimit))
             isUsed -> minOf(current + 1, maxLimit().coerceAtLeast(current))
             else -> current
         }
@@ -91,7 +86,7 @@
     // are still on their way.
     private fun maxLimit(): Double {
         val hasRejected = rejectedAt?.let { it.elapsedNow() < REJECTION_MEMORY } ?: false
-        return if (hasRejected) slots.toDouble() else slots + maxOf(1.0, slots * HEADROOM_SHARE)
+        return if (hasRejected) slots.toDouble() else slots * (1 + HEADROOM_SHARE)
     }
 
     private companion object {
@@ -101,10 +96,15 @@
         // At low rates a window ends with few samples, so that a lowered limit rises again.
         val MAX_WINDOW = 500.milliseconds
 
-        // About one round trip to an endpoint and the time in which gateways hear of each other's calls.
-        val REJECTION_INTERVAL = 100.milliseconds
         val REJECTION_MEMORY = 10.seconds
-        const val REJECTION_FACTOR = 0.9
+
+        // An endpoint that rejects most calls has lost slots.
+        const val FULL_SHARE = 0.5
+        const val FULL_FACTOR = 0.5
+
+        // Gateways that hear of each other's calls late cause some rejections at an endpoint that has all its slots.
+        const val EXCESS_SHARE = 0.15
+        const val EXCESS_STEP = 0.5
 
         // Service times between 20 and 90 ms spread the mean of a window by about 15 %.
         const val TOLERANCE = 1.5
@@ -114,8 +114,9 @@
         const val FALLING_DRIFT = 0.5
         const val RISING_DRIFT = 0.02
 
-        // If a slowdown has another cause than the endpoint's queue, fewer calls only cost capacity.
-        const val LATENCY_FLOOR_SHARE = 0.5
+        // Share of the slots. If calls are slow or rejected for another reason than the endpoint's queue, fewer calls
+        // only cost capacity.
+        const val FLOOR_SHARE = 0.5
         const val HEADROOM_SHARE = 0.2
     }
 }
--- a/library/src/main/kotlin/org/celerywalk/limit/EndpointCapacity.kt
+++ b/library/src/main/kotlin/org/celerywalk/limit/EndpointCapacity.kt
@@ -6,12 +6,13 @@
 import kotlin.time.TimeSource
 
 /** Measured capacity of one endpoint: its concurrency limit and the speed of its answers. Thread-safe. */
-public class EndpointCapacity(private val timeSource: TimeSource.WithComparableMarks, slots: Int) {
+public class EndpointCapacity(private val timeSource: TimeSource.WithComparableMarks, private val slots: Int) {
     private val concurrency = AdaptiveConcurrencyLimit(timeSource, slots)
     private val createdAt = timeSource.markNow()
     private var samples = 0
     private var mean = Duration.ZERO
     private var measuredAt: ComparableTimeMark? = null
+    private var fullUntil: ComparableTimeMark? = null
 
     /** Maximum number of calls in flight of all gateways together. */
     public val limit: Int get() = concurrency.limit
@@ -36,18 +37,25 @@
         val total = (limit * scale).toInt().coerceAtLeast(1)
         val share = (total / gatewayCount.coerceAtLeast(1)).coerceAtLeast(1)
         val knowsPeers = gatewayCount <= 1 || createdAt.elapsedNow() >= PEER_REPORT_TIME
-        return ownCalls < share || knowsPeers && allCalls < total
+        // A slow endpoint has no shares, since a single call of each gateway may be too much for it.
+        val isWithinShare = ownCalls < share && scale == 1.0
+        return !isFull && (isWithinShare || knowsPeers && allCalls < total)
     }
 
+    private val isFull: Boolean
+        @Synchronized get() = fullUntil?.hasNotPassedNow() ?: false
+
     /** Records an answered call that was sent with [inFlight] calls at the endpoint, itself included. */
     public fun recordAnswer(duration: Duration, inFlight: Int) {
         concurrency.recordSample(duration, inFlight, wasRejected = false)
         recordDuration(duration)
     }
 
-    /** Records that the endpoint refused a call because it was full. */
-    public fun recordRejection(inFlight: Int): Unit =
+    /** Records that the endpoint refused a call because it was full. It has no room until a call there should end. */
+    public fun recordRejection(inFlight: Int) {
         concurrency.recordSample(Duration.ZERO, inFlight, wasRejected = true)
+        synchronized(this) { fullUntil = timeSource.markNow() + (meanDuration ?: TYPICAL_DURATION) / slots }
+    }
 
     /** Records that a call was not answered within [duration], which counts if it is longer than the mean. */
     @Synchronized
@@ -65,6 +73,7 @@
     private companion object {
         const val MIN_SAMPLES = 5
         const val SMOOTHING_FACTOR = 0.15
+        val TYPICAL_DURATION = 50.milliseconds
 
         // Two intervals of complete peer messages (0.7 s) and the way of a message.
         val PEER_REPORT_TIME = 1500.milliseconds
