Report outliers, refuse calls slower than their time, and guard the withdrawal of a waiting call

Cause: an outlier had no log line; a call whose usual duration exceeds its time was sent, which the path without a gate refuses; the test of a caller that leaves also passed when the call stayed in the queue until its wait was over. Change: events endpoint_slow and endpoint_fast; refusal 'overloaded' as without a gate; the test bounds the time.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/CallGateEvents.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/CallGateEvents.kt
@@ -7,6 +7,8 @@
 import org.celerywalk.limit.CallDecision
 import org.celerywalk.limit.EndpointCapacity
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.math.abs
 import kotlin.time.Duration
 
@@ -16,7 +18,12 @@
     private val log: EventLog,
     private val metrics: GatewayMetrics,
 ) {
-    private val loggedLimits = ConcurrentHashMap<String, Int>()
+    private class ReportedState(slots: Int) {
+        val limit = AtomicInteger(slots)
+        val isSlow = AtomicBoolean()
+    }
+
+    private val reportedStates = ConcurrentHashMap<String, ReportedState>()
 
     /** Records the decision about a [call] that has not passed at once. */
     fun record(call: GatedCall, decision: CallDecision, endpoint: RegisteredEndpoint?, waited: Duration, waiting: Int) {
@@ -47,21 +54,41 @@
         )
     }
 
-    /** Logs the limit of [endpoint] if it has changed by at least two calls since its last line. */
-    fun recordLimit(endpoint: RegisteredEndpoint, capacity: EndpointCapacity) {
+    /**
+     * Logs a limit of [endpoint] that has changed by at least two calls since its last line, and the moment at which
+     * the endpoint becomes an outlier or none. [slowness] is its mean duration relative to its peers.
+     */
+    fun recordCapacity(endpoint: RegisteredEndpoint, capacity: EndpointCapacity, slowness: Double) {
+        val reported = reportedStates[endpoint.id] ?: addReported(endpoint)
         val limit = capacity.limit
-        val logged = loggedLimits.getOrPut(endpoint.id) { endpoint.slots }
-        if (abs(limit - logged) < MIN_LOGGED_CHANGE || !loggedLimits.replace(endpoint.id, logged, limit)) return
-        log.write(
-            "endpoint_limit",
-            "endpoint" to endpoint.id,
-            "service" to endpoint.service,
-            "limit" to limit,
-            "had" to logged,
-            "slots" to endpoint.slots,
-            "mean_ms" to capacity.meanDuration?.inWholeMilliseconds,
-            "measured_ms_ago" to capacity.measurementAge?.inWholeMilliseconds,
-        )
+        val hadLimit = reported.limit.get()
+        if (abs(limit - hadLimit) >= MIN_LOGGED_CHANGE && reported.limit.compareAndSet(hadLimit, limit)) {
+            write("endpoint_limit", endpoint, capacity, "limit" to limit, "had" to hadLimit, "slots" to endpoint.slots)
+        }
+        val isSlow = slowness > 1
+        if (reported.isSlow.compareAndSet(!isSlow, isSlow)) {
+            val event = if (isSlow) "endpoint_slow" else "endpoint_fast"
+            write(event, endpoint, capacity, "times_slower" to "%.1f".format(slowness))
+        }
+    }
+
+    private fun write(
+        event: String,
+        endpoint: RegisteredEndpoint,
+        capacity: EndpointCapacity,
+        vararg fields: Pair<String, Any?>,
+    ) = log.write(
+        event,
+        "endpoint" to endpoint.id,
+        "service" to endpoint.service,
+        "mean_ms" to capacity.meanDuration?.inWholeMilliseconds,
+        "measured_ms_ago" to capacity.measurementAge?.inWholeMilliseconds,
+        *fields,
+    )
+
+    private fun addReported(endpoint: RegisteredEndpoint): ReportedState {
+        reportedStates.keys.retainAll(state.capacities.asMap().keys)
+        return reportedStates.computeIfAbsent(endpoint.id) { ReportedState(endpoint.slots) }
     }
 
     private fun limitOf(endpoint: RegisteredEndpoint) = state.capacities.getOrCreate(endpoint.id, endpoint.slots).limit
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/ServiceCallGate.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/ServiceCallGate.kt
@@ -129,7 +129,7 @@
             val capacity = state.capacities.getOrCreate(endpoint.id, endpoint.slots)
             waiter.pass = CallPass(endpoint, state.loads.getOrCreate(endpoint.id), capacity, state.timeSource) {
                 admissions[call.service]?.decideWaiting()
-                events.recordLimit(endpoint, capacity)
+                events.recordCapacity(endpoint, capacity, chooser.slowness(endpoint, call.endpoints))
             }
         }
         return endpoint != null
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/ServiceCallPlacer.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/ServiceCallPlacer.kt
@@ -42,6 +42,7 @@
         val rank = admitted.account?.priority ?: route.priority
         val serviceTime = candidates.minOf { loads.getOrCreate(it.id).averageServiceTime }
         val target = route.latencyTarget.takeIf { it > Duration.ZERO } ?: (route.timeout / DEFAULT_TARGET_DIVISOR)
+        if (serviceTime > timeLeft) return GateDecision.Refused("overloaded", serviceTime / 2)
         // The bound on the wait holds for all attempts of the request together.
         val maxWait = minOf(target / 2 - waited, timeLeft - serviceTime).coerceAtLeast(Duration.ZERO)
         val decision = gate.enter(GatedCall(exchange, service, rank, maxWait, candidates))
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/ServiceCallGateTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/ServiceCallGateTest.kt
@@ -9,6 +9,8 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
 
 /**
  * Runs a gateway whose calls exceed the slots of one endpoint.
@@ -54,7 +56,9 @@
         CompletableFuture.runAsync { runCatching { left.execute().close() } }
         awaitUntil { waitingCalls() == "1.0" }
         left.cancel()
+        val leftAt = TimeSource.Monotonic.markNow()
         awaitUntil { waitingCalls() == "0.0" }
+        assertTrue(leftAt.elapsedNow() < 2.seconds, "half of the time that the call may wait")
         val next = send("once")
         answers.release(MANY)
         assertEquals(listOf(200, 200), listOf(first, next).map { it.get(10, TimeUnit.SECONDS).first })
