--- a/library/src/test/kotlin/org/celerywalk/limit/PlainServiceModel.kt
+++ b/library/src/test/kotlin/org/celerywalk/limit/PlainServiceModel.kt
@@ -26,6 +26,7 @@
     val slowFactors: List<Double> = listOf(1.0, 1.0, 1.0),
     val lostReplicas: Int = 0,
     val rejectsExcess: Boolean = true,
+    val gateways: Int = 3,
 )
 
 /** Results of a run: calls answered within the latency target, by rank, and refusals. */
@@ -50,7 +51,7 @@
 }
 
 /**
- * Model of three gateways in front of three replicas with six slots and calls of 20 to 90 ms. Gateways hear of each
+ * Model of gateways in front of three replicas with six slots and calls of 20 to 90 ms. Gateways hear of each
  * other's calls every 100 ms. With [isGated] false, a gateway sends every call at once and repeats a rejected one at up
  * to three other replicas, as before.
  */
@@ -93,7 +94,7 @@
     private inner class Gateway(private val number: Int) {
         val loads = FleetLoads(clock)
         private val capacities = EndpointCapacities(clock)
-        private val chooser = ServiceEndpointChooser(loads, "dc", capacities, { GATEWAYS }, random)
+        private val chooser = ServiceEndpointChooser(loads, "dc", capacities, { settings.gateways }, random)
         private val admission = CallAdmission(clock, random, ::tryStart, ::decide)
 
         fun report(peer: Gateway) {
@@ -194,7 +195,7 @@
         RegisteredEndpoint("$it", "s", "10.0.0.$it:80", "dc", SLOTS, isDraining = false, 0, emptyMap())
     }
     private val replicas = List(REPLICAS) { Replica(it) }
-    private val gateways = List(GATEWAYS) { Gateway(it) }
+    private val gateways = List(settings.gateways) { Gateway(it) }
 
     /** Runs the model and returns its results. */
     fun run(): PlainResult {
@@ -218,7 +219,7 @@
         if (now > DURATION) return
         val call = Call(if (arrivals.nextInt(3) == 0) 0 else 1, now, arrivals.nextInt(MIN_WORK, MAX_WORK).milliseconds)
         result.offered[call.rank]++
-        gateways[arrivals.nextInt(GATEWAYS)].handle(call)
+        gateways[arrivals.nextInt(settings.gateways)].handle(call)
         val rate = REPLICAS * SLOTS * settings.load / (MEAN_WORK + LINK * 2).inWholeMicroseconds
         schedule((-ln(1 - arrivals.nextDouble()) / rate).microseconds, ::arrive)
     }
@@ -235,7 +236,6 @@
 
     companion object {
         val TARGET = 200.milliseconds
-        private const val GATEWAYS = 3
         private const val REPLICAS = 3
         private const val SLOTS = 6
         private const val MAX_WAITING = 30
