Explain refused calls by the limits of their endpoints

Cause: a refused call names no endpoint, so the changes of limits that explain it were left out. Change: the timeline includes endpoint_limit, endpoint_slow and endpoint_fast of the endpoints whose limits a line names.

--- a/cli/src/main/kotlin/org/celerywalk/cli/LogEvent.kt
+++ b/cli/src/main/kotlin/org/celerywalk/cli/LogEvent.kt
@@ -18,6 +18,11 @@
         get() = fields.properties().filter { it.key != "t" }
             .joinToString(" ") { (name, value) -> if (name == "event") value.asText() else "$name=${value.asText()}" }
 
+    /** Endpoints that the event is about: the one that it names and those whose limits were its reason. */
+    val endpointIds: List<String>
+        get() = listOfNotNull(field("endpoint")) +
+            field("limits").orEmpty().split(',').map { it.substringBeforeLast(':') }.filter { it.isNotEmpty() }
+
     fun field(name: String): String? = fields.get(name)?.asText()
 
     companion object {
--- a/cli/src/main/kotlin/org/celerywalk/cli/RequestTimeline.kt
+++ b/cli/src/main/kotlin/org/celerywalk/cli/RequestTimeline.kt
@@ -19,7 +19,8 @@
             "configuration_adopted", "weights_named", "weights_ordered", "weights_order_ended", "endpoint_added",
             "endpoint_leaving", "endpoint_removed", "endpoint_ejected", "store_lost", "store_back", "start", "stop",
             "lease_won", "lease_lost", "log_dropped", "cache_reset", "endpoint_says_leaving", "endpoint_pauses",
-            "endpoint_replaced", "endpoint_crashed", "part_quarantined",
+            "endpoint_replaced", "endpoint_crashed", "part_quarantined", "endpoint_limit", "endpoint_slow",
+            "endpoint_fast",
         )
 
         /**
@@ -34,7 +35,7 @@
             val requestEvents = events.filter { it.belongsToRequest }
             if (requestEvents.isEmpty()) return RequestTimeline(emptyList())
             val instances = requestEvents.map { it.field("instance") }.toSet()
-            val endpoints = requestEvents.mapNotNull { it.field("endpoint") }.toSet()
+            val endpoints = requestEvents.flatMap { it.endpointIds }.toSet()
             val window =
                 requestEvents.minOf { it.millis } - MILLIS_BEFORE..requestEvents.maxOf { it.millis } + MILLIS_AFTER
             val stateChanges = events.filter { event ->
--- a/cli/src/test/kotlin/org/celerywalk/cli/ExplainCommandTest.kt
+++ b/cli/src/test/kotlin/org/celerywalk/cli/ExplainCommandTest.kt
@@ -35,6 +35,22 @@
         assertFalse("i-2" in result.stdout || "g2" in result.stdout || "id=b" in result.stdout, result.stdout)
     }
 
+    @Test
+    fun `a refused call shows the limits of the endpoints that had no room`() {
+        val refusal = """"event":"call_refused","instance":"g1","id":"a","reason":"queue_late","limits":"i-1:3,i-2:6""""
+        logFile.writeLines(
+            listOf(
+                """{"t":9000,"event":"endpoint_limit","instance":"g1","endpoint":"i-1","limit":3,"had":6}""",
+                """{"t":9100,"event":"endpoint_slow","instance":"g1","endpoint":"i-2","times_slower":"4.0"}""",
+                """{"t":9200,"event":"endpoint_limit","instance":"g1","endpoint":"i-3","limit":2,"had":6}""",
+                """{"t":10010,$refusal}""",
+            ),
+        )
+        val lines = celerywalk().test("explain a $logFile").stdout.lines().filter { it.isNotBlank() }
+        val events = lines.map { it.substringAfter("ms  ").substringBefore(' ') }
+        assertEquals(listOf("endpoint_limit", "endpoint_slow", "call_refused"), events)
+    }
+
     @Test
     fun `a request without log lines is an error`() {
         logFile.writeLines(listOf("""{"t":1,"event":"start","instance":"g1"}"""))
