--- a/library/src/main/kotlin/org/celerywalk/account/FleetQuota.kt
+++ b/library/src/main/kotlin/org/celerywalk/account/FleetQuota.kt
@@ -29,12 +29,17 @@
     private var level = 0.0
     private var refilledAt: ComparableTimeMark = timeSource.markNow()
     private var ownTotal = 0.0
+    private var peerTotal = 0.0
     private val peerTotals = HashMap<String, Double>()
 
     /** Total cost that this process has admitted since its start, as reported to its peers. */
     public val totalAdmittedCost: Double
         @Synchronized get() = ownTotal
 
+    /** Total cost that the peers have reported as admitted since this process heard of them first. */
+    public val totalPeerCost: Double
+        @Synchronized get() = peerTotal
+
     /** Sets [rate] per second and [burst]; the first call fills the bucket to the fraction [initialFillFraction]. */
     @Synchronized
     public fun configure(rate: Double, burst: Double, initialFillFraction: Double) {
@@ -51,7 +56,11 @@
         refill()
         val requiredLevel = min(cost, burst * reachableShare())
         return when {
-            rate <= 0.0 -> QuotaDecision.Admitted
+            // The cost of an account without a limit counts for its share of scarce capacity.
+            rate <= 0.0 -> {
+                ownTotal += cost
+                QuotaDecision.Admitted
+            }
             level >= requiredLevel -> {
                 level -= cost
                 ownTotal += cost
@@ -75,6 +84,8 @@
         refill()
         val previousTotal = peerTotals.put(peer, totalCost) ?: totalCost
         level -= totalCost - previousTotal
+        // A peer that has restarted counts from 0 again.
+        peerTotal += max(0.0, totalCost - previousTotal)
     }
 
     private fun refill() {
