Ask the admission of scarce services before a generation is placed

Cause: RequestForwarder sends each generation at once, whatever its rank and account.

Change: admission/GenerationGate asks the service's AdmissionQueue with the chooser's estimate on the request's own thread; only a request that has to wait is queued. GatedPlacer keeps RequestForwarder small. Generations of such services keep their rank when they are late. Log lines generation_late, generation_waited, generation_refused and generation_left hold the inputs and who had the room; metric celerywalk_admission.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
@@ -3,6 +3,7 @@
 import okhttp3.ConnectionPool
 import okhttp3.ConnectionSpec
 import okhttp3.OkHttpClient
+import org.celerywalk.gateway.admission.GenerationGate
 import org.celerywalk.gateway.callers.GatewayServer
 import org.celerywalk.gateway.callers.RequestHandler
 import org.celerywalk.gateway.callers.StatusPages
@@ -81,6 +82,7 @@
     }.apply { removeOnCancelPolicy = true }
     private val plannedStop =
         PlannedStop(timeSource, BALANCER_REACTION_TIME, settings.bounds.stopGrace - STOP_MARGIN)
+    private val gate = GenerationGate(state, log, metrics)
     private val handler = RequestHandler(state, createForwardingContext(), log, metrics, plannedStop)
     private val server = GatewayServer(settings, handler, Pages(), log, callersSocket)
 
@@ -100,6 +102,7 @@
             state.confirmation.age()?.inWholeMilliseconds ?: -1
         }
         metrics.registerGauge("celerywalk.quarantine.parts") { state.quarantine.quarantinedParts.size }
+        metrics.registerGauge("celerywalk.admission.waiting") { gate.waitingCount }
         val threadTimes = ThreadProcessorTimes()
         metrics.registerGauges("celerywalk.processor.seconds", "threads") {
             threadTimes.timeByGroup().mapValues { (_, time) -> time.toDouble(DurationUnit.SECONDS) }
@@ -154,10 +157,11 @@
             state,
             SendContext(client, replicas, log, metrics, ResponseMemory(), timers),
             EndpointChoosers(
-                GenerationPlacer(state, chooser, log, peers::announcePlacement),
+                GenerationPlacer(state, chooser, log, gate, peers::announcePlacement),
                 ServiceEndpointChooser(state.loads, settings.dataCentre),
             ),
             QuarantineEnforcer(state, client, log) { membership.reachablePeers },
+            gate,
         )
     }
 
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayMetrics.kt
@@ -38,6 +38,10 @@
     public fun recordSend(service: String, outcome: String): Unit =
         incrementCounter("celerywalk.sends", "service", service, "outcome", outcome)
 
+    /** Records an [event] of the admission to the replicas of [service]. */
+    public fun recordAdmission(service: String, event: String): Unit =
+        incrementCounter("celerywalk.admission", "service", service, "event", event)
+
     /** Records a call to the platform's store. */
     public fun recordStoreCall(step: String): Unit = incrementCounter("celerywalk.store.calls", "step", step)
 
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/admission/Admission.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/admission/Admission.kt
@@ -29,10 +29,17 @@
     private val quota: FleetQuota?,
     private val cost: Double,
 ) {
+    /** Urgency of the request at the replicas; 0 is the most urgent. */
+    val rank: Int get() = (account?.priority ?: route.priority).coerceIn(0, LOWEST_RANK)
+
     /** Returns the request's cost to the quota; to be called if no endpoint executed the request. */
     fun refund() {
         quota?.refund(cost)
     }
+
+    private companion object {
+        const val LOWEST_RANK = 9
+    }
 }
 
 /** Admission control for callers' requests: checks route, API key, size and quota. */
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/ForwardingContext.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/ForwardingContext.kt
@@ -3,6 +3,7 @@
 import org.celerywalk.gateway.EventLog
 import org.celerywalk.gateway.FleetState
 import org.celerywalk.gateway.GatewayMetrics
+import org.celerywalk.gateway.admission.GenerationGate
 import org.celerywalk.gateway.endpoints.EndpointClient
 import org.celerywalk.platform.wire.ReplicaCalls
 import org.celerywalk.routing.ServiceEndpointChooser
@@ -15,6 +16,7 @@
     val sendContext: SendContext,
     val choosers: EndpointChoosers,
     val quarantine: QuarantineEnforcer,
+    val gate: GenerationGate,
     val random: Random = Random.Default,
 )
 
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/GenerationPlacer.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/GenerationPlacer.kt
@@ -6,6 +6,7 @@
 import org.celerywalk.gateway.EventLog
 import org.celerywalk.gateway.FleetState
 import org.celerywalk.gateway.admission.AdmittedRequest
+import org.celerywalk.gateway.admission.GenerationGate
 import org.celerywalk.gateway.callers.CallerExchange
 import org.celerywalk.platform.wire.ForwardedGeneration
 import org.celerywalk.routing.EndpointLoad
@@ -16,7 +17,6 @@
 import org.celerywalk.routing.Placement
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.DurationUnit
 
 /** Decision about the placement of a generation. */
 internal sealed interface PlacementDecision {
@@ -34,6 +34,9 @@
 
     /** No replica is available, or none is likely to finish the generation in time. */
     class Refused(val reason: String, val retryAfter: Duration) : PlacementDecision
+
+    /** The request was cancelled before a replica was chosen. */
+    data object Cancelled : PlacementDecision
 }
 
 /**
@@ -67,58 +70,65 @@
     private val state: FleetState,
     private val chooser: ModelReplicaChooser,
     private val log: EventLog,
+    private val gate: GenerationGate,
     private val onPlaced: (holder: String, CacheScope, List<PromptPart>) -> Unit,
 ) {
     private val maxSupersededTime = state.settings.bounds.weightsDeadline - OLD_WEIGHTS_MARGIN
 
-    /**
-     * Chooses one of [candidates] for the request of [exchange] and counts its load there, or refuses the request if it
-     * is unlikely to finish within [timeLeft].
-     */
-    fun place(
+    /** Chooses one of [candidates] for the request of [exchange] and counts its transfer; [place] is to follow. */
+    fun choose(
         exchange: CallerExchange,
         admitted: AdmittedRequest,
         service: String,
         candidates: List<RegisteredEndpoint>,
-        timeLeft: Duration,
-    ): PlacementDecision {
-        val generation = describeGeneration(exchange, admitted)
+    ): PlannedGeneration {
+        val generation = describeGeneration(exchange, admitted, service)
         val placement = engineContext(admitted, service)?.let { context ->
             val weights = state.weightHistoryOf(generation.model)
             chooser.choose(generation, candidates, context, weights, maxSupersededTime)
         }
-        return when {
-            placement == null -> PlacementDecision.Refused("no_endpoint", NO_ENDPOINT_RETRY_AFTER)
-            !placement.isLikelyWithin(timeLeft) ->
-                PlacementDecision.Refused("overloaded", (placement.expectedFirstTokenMillis / 2).milliseconds)
-            else -> reserve(exchange, admitted, generation, placement)
-        }
+        return PlannedGeneration(generation, placement, state.settings.prefillTokensPerMillisecond)
     }
 
-    /** Returns true if [place] would now place the request. May be called by any thread. */
-    fun canPlace(
+    /** Returns what [choose] would return now, without counting a transfer. May be called by any thread. */
+    fun plan(
         exchange: CallerExchange,
         admitted: AdmittedRequest,
         service: String,
         candidates: List<RegisteredEndpoint>,
-        timeLeft: Duration,
-    ): Boolean {
-        val generation = describeGeneration(exchange, admitted)
+    ): PlannedGeneration {
+        val generation = describeGeneration(exchange, admitted, service)
         val placement = engineContext(admitted, service)?.let { context ->
             val weights = state.weightHistoryOf(generation.model)
             chooser.plan(generation, candidates, context, weights, maxSupersededTime)
         }
-        return placement?.isLikelyWithin(timeLeft) ?: false
+        return PlannedGeneration(generation, placement, state.settings.prefillTokensPerMillisecond)
+    }
+
+    /**
+     * Counts the load of the request of [exchange] at the replica that was chosen, or refuses the request if it is
+     * unlikely to finish within [timeLeft].
+     */
+    fun place(
+        exchange: CallerExchange,
+        admitted: AdmittedRequest,
+        planned: PlannedGeneration,
+        timeLeft: Duration,
+    ): PlacementDecision {
+        val placement = planned.placement
+        return when {
+            placement == null -> PlacementDecision.Refused("no_endpoint", NO_ENDPOINT_RETRY_AFTER)
+            !planned.isLikelyWithin(timeLeft) ->
+                PlacementDecision.Refused("overloaded", (placement.expectedFirstTokenMillis / 2).milliseconds)
+            else -> reserve(exchange, admitted, planned.generation, placement)
+        }
     }
 
     private fun engineContext(admitted: AdmittedRequest, service: String): EngineContext? =
         admitted.activeConfiguration.configuration.services.getValue(service).engine
             ?.let { EngineContext(it, admitted.activeConfiguration.cacheStore) }
 
-    private fun Placement.isLikelyWithin(timeLeft: Duration): Boolean =
-        expectedFirstTokenMillis <= timeLeft.toDouble(DurationUnit.MILLISECONDS) * PLANNABLE_TIME_SHARE
-
-    private fun describeGeneration(exchange: CallerExchange, admitted: AdmittedRequest): Generation {
+    private fun describeGeneration(exchange: CallerExchange, admitted: AdmittedRequest, service: String): Generation {
         val caller = exchange.caller
         return Generation(
             model = caller.model.orEmpty(),
@@ -128,7 +138,8 @@
             isolatedAccount = admitted.account?.takeIf { it.isIsolated }?.name,
             firstTokenTimeLeft = (admitted.route.latencyTarget - exchange.elapsed())
                 .coerceAtLeast(MIN_FIRST_TOKEN_TARGET),
-            isResumed = exchange.response.isCommitted,
+            // The chooser does not defer a resumed generation, nor may it defer one whose lateness the gate decides.
+            isResumed = exchange.response.isCommitted || gate.isActive(admitted, service),
         )
     }
 
@@ -158,7 +169,7 @@
         val headers = ForwardedGeneration(
             cacheScope = placement.scope.value,
             expectedWeightsVersion = placement.version,
-            priority = if (placement.isDeferred) LOWEST_PRIORITY else accountOrRoutePriority(admitted),
+            priority = if (placement.isDeferred) LOWEST_PRIORITY else admitted.rank,
             fetchFromAddress = placement.fetchAddress,
             saveToAddress = saveToAddress(admitted, generation, placement.scope),
         )
@@ -175,9 +186,6 @@
             (state.settings.bounds.weightsDeadline - START_MARGIN - supersededTime).coerceAtLeast(Duration.ZERO)
         }
 
-    private fun accountOrRoutePriority(admitted: AdmittedRequest) =
-        (admitted.account?.priority ?: admitted.route.priority).coerceIn(0, LOWEST_PRIORITY)
-
     // Returns the cache store's address if enough shared tokens are not saved there yet. The last part belongs to this
     // request or its session and is not saved, since the store's memory is for parts that many requests share.
     private fun saveToAddress(admitted: AdmittedRequest, generation: Generation, scope: CacheScope): String? {
@@ -193,8 +201,6 @@
         const val MIN_NEW_TOKENS_TO_SAVE = 512
         val MIN_FIRST_TOKEN_TARGET = 50.milliseconds
 
-        // The remaining share of the time is for generating the output tokens.
-        const val PLANNABLE_TIME_SHARE = 0.8
         val NO_ENDPOINT_RETRY_AFTER = 300.milliseconds
 
         // Covers the time that a request may wait in a replica's queue before it begins.
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/RequestForwarder.kt
@@ -41,6 +41,7 @@
     private val isStream = route.kind == RequestKind.STREAMING
     private val isGeneration = exchange.caller.model != null &&
         admitted.activeConfiguration.configuration.services[service]?.engine != null
+    private val placer = GatedPlacer(exchange, admitted, service, context, ::timeLeft)
     private var lastServerError: BufferedResponse? = null
 
     /** IDs of the endpoints that the request was sent to, in order. */
@@ -56,7 +57,10 @@
             obstacle = retries.awaitRetry(outcome, sentEndpointIds.size)
         }
         quarantine.withdrawUnsentTrial()
-        if (retries.executions == 0) admitted.refund()
+        if (retries.executions == 0) {
+            admitted.refund()
+            placer.withdraw()
+        }
         ForwardingResult(completeResponse(outcome), outcome.failureReason, obstacle)
     }
 
@@ -74,11 +78,15 @@
     }
 
     private fun sendToReplica(candidates: List<RegisteredEndpoint>): AttemptOutcome =
-        when (val decision = context.choosers.generations.place(exchange, admitted, service, candidates, timeLeft())) {
+        when (val decision = placer.place(candidates, isFirstSend = sentEndpointIds.isEmpty())) {
             is PlacementDecision.Placed ->
                 decision.reservation.use {
-                    send(decision.endpoint, decision.headers, decision.startLimit, it::releasePrefill)
+                    send(decision.endpoint, decision.headers, decision.startLimit) {
+                        it.releasePrefill()
+                        placer.recordAnswer()
+                    }
                 }
+            PlacementDecision.Cancelled -> AttemptOutcome.Cancelled
             is PlacementDecision.Refused -> AttemptOutcome.Rejected(decision.reason, decision.retryAfter)
         }
 
@@ -99,7 +107,7 @@
         if (mustStay || !relay.canContinue || quarantine.isQuarantined) return false
         val free = candidates.selectFree(service, sentIds)
         return if (isGeneration) {
-            context.choosers.generations.canPlace(exchange, admitted, service, free, timeLeft())
+            placer.canPlace(free)
         } else {
             context.choosers.services.choose(free)
                 ?.let { context.choosers.services.expectedDuration(it) <= timeLeft() } ?: false
--- a/library/src/main/kotlin/org/celerywalk/routing/FleetLoads.kt
+++ b/library/src/main/kotlin/org/celerywalk/routing/FleetLoads.kt
@@ -12,6 +12,12 @@
     private val loads = ConcurrentHashMap<String, EndpointLoad>()
     private val lastReportAtByPeer = HashMap<String, ComparableTimeMark>()
 
+    @Volatile
+    private var lastReportAt: ComparableTimeMark? = null
+
+    /** Time since the last report of any peer, or null if there was none. */
+    public val peerReportAge: Duration? get() = lastReportAt?.elapsedNow()
+
     /** Returns the load of the endpoint [id], which is created if it does not exist. */
     public fun getOrCreate(id: String): EndpointLoad = loads.computeIfAbsent(id) {
         EndpointLoad(timeSource, EndpointHealth(timeSource, EJECTION_TIME))
@@ -25,6 +31,7 @@
     @Synchronized
     public fun recordPeerReport(peer: String, work: Map<String, EndpointWork>, isComplete: Boolean) {
         lastReportAtByPeer[peer] = timeSource.markNow()
+        lastReportAt = timeSource.markNow()
         if (isComplete) {
             loads.forEach { (id, load) -> load.recordPeerWork(peer, work[id] ?: EndpointWork()) }
         } else {
