--- a/bench/src/main/kotlin/org/celerywalk/bench/Main.kt
+++ b/bench/src/main/kotlin/org/celerywalk/bench/Main.kt
@@ -10,6 +10,7 @@
 import com.github.ajalt.clikt.parameters.types.file
 import com.github.ajalt.clikt.parameters.types.int
 import com.github.ajalt.clikt.parameters.types.restrictTo
+import org.celerywalk.bench.admission.AdmissionCommand
 import java.io.File
 import java.util.concurrent.Callable
 import java.util.concurrent.Executors
@@ -70,5 +71,5 @@
 
 /** Runs the routing benchmark. */
 public fun main(args: Array<String>) {
-    BenchCommand().subcommands(RunCommand(), CompareCommand(), DecisionTimeCommand()).main(args)
+    BenchCommand().subcommands(RunCommand(), CompareCommand(), DecisionTimeCommand(), AdmissionCommand()).main(args)
 }
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/admission/Admission.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/admission/Admission.kt
@@ -37,7 +37,7 @@
         quota?.refund(cost)
     }
 
-    private companion object {
+    companion object {
         const val LOWEST_RANK = 9
     }
 }
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/admission/AdmissionPolicy.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/admission/AdmissionPolicy.kt
@@ -26,6 +26,13 @@
     /** Returns the rank up to which late requests of [service] are sent, or -1 if all have the same rank. */
     fun lateRank(service: String): Int = ranksByService.getValue(service).takeIf { it.size > 1 }?.min() ?: -1
 
+    /**
+     * Returns the priority at the replicas of a late request of [rank]: behind those in time of its rank, which it
+     * would make late too, and ahead of less urgent ones. It is [rank] itself if the next number is another rank.
+     */
+    fun latePriority(service: String, rank: Int): Int =
+        if (rank + 1 in ranksByService.getValue(service) || rank == AdmittedRequest.LOWEST_RANK) rank else rank + 1
+
     /** Returns the share of [account] in scarce capacity, relative to other accounts: its rate, or 1. */
     fun weight(account: String): Double = if (hasComparableRates) ratesByAccount[account] ?: 1.0 else 1.0
 
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/admission/GenerationGate.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/admission/GenerationGate.kt
@@ -20,8 +20,13 @@
 
 /** Decision about a generation that is about to be placed on a replica. */
 internal sealed interface GateDecision {
-    /** The generation is placed now. [hasWaited] is true if the room that was expected before is outdated. */
-    class Admitted(val passage: Passage, val hasWaited: Boolean) : GateDecision
+    /**
+     * The generation is placed now.
+     *
+     * @property hasWaited true if the room that was expected before is outdated.
+     * @property latePriority priority at the replica if the generation is late, otherwise null.
+     */
+    class Admitted(val passage: Passage, val hasWaited: Boolean, val latePriority: Int?) : GateDecision
 
     /** The generation is not executed. */
     class Refused(val reason: String, val retryAfter: Duration) : GateDecision
@@ -63,7 +68,7 @@
         gate.queue.lateRank = policy.lateRank(service)
         gate.recordCosts()
         val request = describe(exchange, admitted, room)
-        val visit = GateVisit(exchange, request, gate, room)
+        val visit = GateVisit(exchange, request, gate, room, policy.latePriority(service, request.rank))
         return when (val admission = gate.queue.offer(request, room.timeToStart)) {
             is Admission.Waiting -> decide(visit, gate.awaitDecision(exchange, request, estimateRoom), hasWaited = true)
             else -> decide(visit, admission, hasWaited = false)
@@ -74,7 +79,8 @@
         is Admission.Admitted -> {
             val event = if (hasWaited) "waited" else "late"
             if (hasWaited || admission.isLate) record(visit, event, "generation_$event")
-            GateDecision.Admitted(Passage(visit.request, visit.gate, metrics, admission.isLate), hasWaited)
+            val passage = Passage(visit.request, visit.gate, metrics, admission.isLate)
+            GateDecision.Admitted(passage, hasWaited, visit.latePriority.takeIf { admission.isLate })
         }
         is Admission.Refused -> {
             val reason = admission.reason.name.lowercase()
@@ -137,6 +143,7 @@
         val request: AdmissionRequest,
         val gate: ServiceGate,
         val room: ExpectedRoom,
+        val latePriority: Int,
     ) {
         val enteredAt = state.timeSource.markNow()
     }
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/admission/ServiceGate.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/admission/ServiceGate.kt
@@ -20,7 +20,8 @@
     weightOf: (account: String) -> Double,
 ) {
     val shares = FairShares(state.timeSource, weightOf = weightOf)
-    val queue = AdmissionQueue(state.timeSource, shares, ReturnTimes(state.timeSource, Random.Default))
+    private val returnTimes = ReturnTimes(state.timeSource, Random.Default)
+    val queue = AdmissionQueue(state.timeSource, shares, returnTimes, Random.Default)
     private val estimates = ConcurrentHashMap<AdmissionRequest, () -> ExpectedRoom>()
     private val releaseLock = ReentrantLock()
     private var releasedAt = state.timeSource.markNow()
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/GatedPlacer.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/GatedPlacer.kt
@@ -33,7 +33,8 @@
                 passage = decision.passage
                 // The plan is outdated after a wait, and it has not counted a transfer.
                 val isUsable = !decision.hasWaited && planned.placement?.fetchAddress == null
-                placeOn(if (isUsable) planned else choose(selectUnsent()))
+                val current = if (isUsable) planned else choose(selectUnsent())
+                placeOn(current.withLatePriority(decision.latePriority))
             }
             is GateDecision.Refused -> PlacementDecision.Refused(decision.reason, decision.retryAfter)
             GateDecision.Cancelled -> PlacementDecision.Cancelled
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/GenerationPlacer.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/GenerationPlacer.kt
@@ -120,7 +120,7 @@
             placement == null -> PlacementDecision.Refused("no_endpoint", NO_ENDPOINT_RETRY_AFTER)
             !planned.isLikelyWithin(timeLeft) ->
                 PlacementDecision.Refused("overloaded", (placement.expectedFirstTokenMillis / 2).milliseconds)
-            else -> reserve(exchange, admitted, planned.generation, placement)
+            else -> reserve(exchange, admitted, planned, placement)
         }
     }
 
@@ -146,9 +146,11 @@
     private fun reserve(
         exchange: CallerExchange,
         admitted: AdmittedRequest,
-        generation: Generation,
+        planned: PlannedGeneration,
         placement: Placement,
     ): PlacementDecision {
+        val generation = planned.generation
+        val latePriority = planned.latePriority ?: LOWEST_PRIORITY.takeIf { placement.isDeferred }
         val endpoint = placement.endpoint
         log.write(
             "request_placed",
@@ -161,7 +163,7 @@
             "fetch_from" to placement.fetchAddress,
             "prompt" to generation.promptTokens,
             "expected_ms" to placement.expectedFirstTokenMillis.toLong(),
-            "deferred" to placement.isDeferred.takeIf { it },
+            "deferred" to (latePriority != null).takeIf { it },
             "calls" to state.loads.getOrCreate(endpoint.id).work().calls,
         )
         state.locations.recordSent(endpoint.id, placement.scope, generation.parts)
@@ -169,7 +171,7 @@
         val headers = ForwardedGeneration(
             cacheScope = placement.scope.value,
             expectedWeightsVersion = placement.version,
-            priority = if (placement.isDeferred) LOWEST_PRIORITY else admitted.rank,
+            priority = latePriority ?: admitted.rank,
             fetchFromAddress = placement.fetchAddress,
             saveToAddress = saveToAddress(admitted, generation, placement.scope),
         )
@@ -177,7 +179,10 @@
             endpoint,
             headers,
             startLimit(generation.model, placement.version),
-            LoadReservation(state.loads.getOrCreate(endpoint.id), placement.work),
+            LoadReservation(
+                state.loads.getOrCreate(endpoint.id),
+                if (latePriority != null && !placement.isDeferred) placement.work.asDeferred() else placement.work,
+            ),
         )
     }
 
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/PlannedGeneration.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/PlannedGeneration.kt
@@ -7,12 +7,21 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.DurationUnit
 
-/** A [generation] with its chosen [placement], which is null if no replica is eligible. */
+/**
+ * A [generation] with its chosen [placement], which is null if no replica is eligible.
+ *
+ * @property latePriority priority at the replica if the generation is late, otherwise null.
+ */
 internal class PlannedGeneration(
     val generation: Generation,
     val placement: Placement?,
     private val prefillTokensPerMilli: Double,
+    val latePriority: Int? = null,
 ) {
+    /** Returns the same plan at [priority], or this one if that is null. */
+    fun withLatePriority(priority: Int?): PlannedGeneration =
+        if (priority == null) this else PlannedGeneration(generation, placement, prefillTokensPerMilli, priority)
+
     /** Room that the chosen replica is expected to have. */
     val expectedRoom: ExpectedRoom
         get() {
--- a/library/src/main/kotlin/org/celerywalk/admission/AdmissionQueue.kt
+++ b/library/src/main/kotlin/org/celerywalk/admission/AdmissionQueue.kt
@@ -1,6 +1,7 @@
 package org.celerywalk.admission
 
 import java.util.IdentityHashMap
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.TimeSource
 
@@ -18,6 +19,7 @@
     private val timeSource: TimeSource.WithComparableMarks,
     private val shares: FairShares,
     private val returnTimes: ReturnTimes,
+    private val random: Random,
     private val maxWaiting: Int = MAX_WAITING,
 ) {
     private val order = AdmissionOrder(shares)
@@ -41,17 +43,21 @@
      */
     @Synchronized
     public fun offer(request: AdmissionRequest, timeToStart: Duration?): Admission {
-        val room = roomFor(request)
+        // Gateways that know each other's work late would otherwise all send below the limit and none above it.
+        val longest = roomFor(request, MAX_ROOM)
+        val room = roomFor(request, MIN_ROOM + (MAX_ROOM - MIN_ROOM) * random.nextDouble())
         val hasRoom = timeToStart != null && timeToStart <= room
-        if (!hasRoom) shortages.record(request.rank, isWithinShare = !shares.isAboveShare(request.account))
+        if (timeToStart == null || timeToStart > longest) {
+            shortages.record(request.rank, isWithinShare = !shares.isAboveShare(request.account))
+        }
         val isFirst = !mustYield(request) && waiting.none { order.compare(it, request) < 0 }
         return when {
             hasRoom && isFirst -> admit(request, isLate = false)
             request.rank <= lateRank && isFirst -> admit(request, isLate = true)
             timeToStart == null || timeToStart > request.latestStart - timeSource.markNow() ->
-                refuse(request, RefusalReason.NO_ROOM, timeToStart?.minus(room))
-            timeToStart - room > request.maxWait ->
-                refuse(request, RefusalReason.OTHERS_FIRST, timeToStart - room)
+                refuse(request, RefusalReason.NO_ROOM, timeToStart?.minus(longest))
+            timeToStart - longest > request.maxWait ->
+                refuse(request, RefusalReason.OTHERS_FIRST, timeToStart - longest)
             else -> enqueue(request, timeToStart)
         }
     }
@@ -68,7 +74,7 @@
             while (size < limit) {
                 val next = waiting.minWithOrNull(order)
                 val timeToStart = next?.takeUnless(::mustYield)?.let(room::timeToStart)
-                if (next == null || timeToStart == null || timeToStart > roomFor(next)) break
+                if (next == null || timeToStart == null || timeToStart > roomFor(next, MAX_ROOM)) break
                 waiting.remove(next)
                 decisions[next] = admit(next, isLate = false)
                 add(next)
@@ -126,9 +132,9 @@
         Admission.Refused(reason, returnTimes.next(request.work, timeToRoom ?: Duration.ZERO))
 
     // Time that the work ahead of a request may take.
-    private fun roomFor(request: AdmissionRequest): Duration =
-        (request.latestStart - timeSource.markNow()) *
-            if (shares.isAboveShare(request.account)) ABOVE_SHARE_ROOM else ROOM
+    private fun roomFor(request: AdmissionRequest, share: Double): Duration =
+        (request.latestStart - timeSource.markNow()) * share *
+            if (shares.isAboveShare(request.account)) ABOVE_SHARE_ROOM else 1.0
 
     private fun mustYield(request: AdmissionRequest): Boolean = shortages.isMoreUrgentShort(request.rank) ||
         shortages.isShareShort(request.rank) && shares.isAboveShare(request.account)
@@ -137,11 +143,12 @@
         // Each waiting request holds a thread of the server and its body.
         const val MAX_WAITING = 24
 
-        // Part of the time to the latest start that the work ahead of a request may take. The rest covers the error of
-        // the estimate and what other gateways send before they report it.
-        const val ROOM = 0.9
+        // Part of the time to the latest start that the work ahead of a request may take, drawn for each request. The
+        // rest covers the error of the estimate and what other gateways send before they report it.
+        const val MIN_ROOM = 0.4
+        const val MAX_ROOM = 0.9
 
-        // The same for an account above its share. The difference is the room that it leaves to the others.
-        const val ABOVE_SHARE_ROOM = 0.5
+        // Factor for an account above its share. The difference is the room that it leaves to the others.
+        const val ABOVE_SHARE_ROOM = 0.55
     }
 }
