Merge the admission of generations

It takes effect where the settings ask for admission by load. The gate decides which generations are late; the load at a replica counts them by rank.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
@@ -3,6 +3,7 @@
 import okhttp3.ConnectionPool
 import okhttp3.ConnectionSpec
 import okhttp3.OkHttpClient
+import org.celerywalk.gateway.admission.GenerationGate
 import org.celerywalk.gateway.callers.GatewayServer
 import org.celerywalk.gateway.callers.RequestHandler
 import org.celerywalk.gateway.callers.StatusPages
@@ -86,6 +87,7 @@
     private val serviceChooser: ServiceEndpointChooser =
         ServiceEndpointChooser(state.loads, settings.dataCentre, state.capacities, { membership.gatewayCount })
     private val callGate = ServiceCallGate(state, serviceChooser, CallGateEvents(state, log, metrics))
+    private val gate = GenerationGate(state, log, metrics)
     private val handler = RequestHandler(state, createForwardingContext(), log, metrics, plannedStop)
     private val server = GatewayServer(settings, handler, Pages(), log, callersSocket)
 
@@ -107,6 +109,7 @@
         metrics.registerGauge("celerywalk.quarantine.parts") { state.quarantine.quarantinedParts.size }
         metrics.registerGauges("celerywalk.endpoint.limit", "endpoint") { callGate.limits }
         metrics.registerGauges("celerywalk.calls.waiting", "service") { callGate.waitingCalls }
+        metrics.registerGauge("celerywalk.admission.waiting") { gate.waitingCount }
         val threadTimes = ThreadProcessorTimes()
         metrics.registerGauges("celerywalk.processor.seconds", "threads") {
             threadTimes.timeByGroup().mapValues { (_, time) -> time.toDouble(DurationUnit.SECONDS) }
@@ -161,11 +164,12 @@
             state,
             SendContext(client, replicas, log, metrics, ResponseMemory(), timers),
             EndpointChoosers(
-                GenerationPlacer(state, chooser, log, peers::announcePlacement),
+                GenerationPlacer(state, chooser, log, gate, peers::announcePlacement),
                 serviceChooser,
                 callGate,
             ),
             QuarantineEnforcer(state, client, log) { membership.reachablePeers },
+            gate,
         )
     }
 
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayMetrics.kt
@@ -42,6 +42,10 @@
     public fun recordCallRefusal(service: String, reason: String): Unit =
         incrementCounter("celerywalk.call.refusals", "service", service, "reason", reason)
 
+    /** Records an [event] of the admission to the replicas of [service]. */
+    public fun recordAdmission(service: String, event: String): Unit =
+        incrementCounter("celerywalk.admission", "service", service, "event", event)
+
     /** Records a call to the platform's store. */
     public fun recordStoreCall(step: String): Unit = incrementCounter("celerywalk.store.calls", "step", step)
 
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/GenerationPlacer.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/GenerationPlacer.kt
@@ -6,6 +6,7 @@
 import org.celerywalk.gateway.EventLog
 import org.celerywalk.gateway.FleetState
 import org.celerywalk.gateway.admission.AdmittedRequest
+import org.celerywalk.gateway.admission.GenerationGate
 import org.celerywalk.gateway.callers.CallerExchange
 import org.celerywalk.platform.wire.ForwardedGeneration
 import org.celerywalk.routing.EndpointLoad
@@ -17,7 +18,6 @@
 import org.celerywalk.routing.Rank
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.DurationUnit
 
 /** Decision about the placement of a generation. */
 internal sealed interface PlacementDecision {
@@ -35,6 +35,9 @@
 
     /** No replica is available, or none is likely to finish the generation in time. */
     class Refused(val reason: String, val retryAfter: Duration) : PlacementDecision
+
+    /** The request was cancelled before a replica was chosen. */
+    data object Cancelled : PlacementDecision
 }
 
 /**
@@ -77,58 +80,65 @@
     private val state: FleetState,
     private val chooser: ModelReplicaChooser,
     private val log: EventLog,
+    private val gate: GenerationGate,
     private val onPlaced: (holder: String, CacheScope, List<PromptPart>) -> Unit,
 ) {
     private val maxSupersededTime = state.settings.bounds.weightsDeadline - OLD_WEIGHTS_MARGIN
 
-    /**
-     * Chooses one of [candidates] for the request of [exchange] and counts its load there, or refuses the request if it
-     * is unlikely to finish within [timeLeft].
-     */
-    fun place(
+    /** Chooses one of [candidates] for the request of [exchange] and counts its transfer; [place] is to follow. */
+    fun choose(
         exchange: CallerExchange,
         admitted: AdmittedRequest,
         service: String,
         candidates: List<RegisteredEndpoint>,
-        timeLeft: Duration,
-    ): PlacementDecision {
-        val generation = describeGeneration(exchange, admitted)
+    ): PlannedGeneration {
+        val generation = describeGeneration(exchange, admitted, service)
         val placement = engineContext(admitted, service)?.let { context ->
             val weights = state.weightHistoryOf(generation.model)
             chooser.choose(generation, candidates, context, weights, maxSupersededTime)
         }
-        return when {
-            placement == null -> PlacementDecision.Refused("no_endpoint", NO_ENDPOINT_RETRY_AFTER)
-            !placement.isLikelyWithin(timeLeft) ->
-                PlacementDecision.Refused("overloaded", (placement.expectedFirstTokenMillis / 2).milliseconds)
-            else -> reserve(exchange, admitted, generation, placement)
-        }
+        return PlannedGeneration(generation, placement, state.settings.prefillTokensPerMillisecond)
     }
 
-    /** Returns true if [place] would now place the request. May be called by any thread. */
-    fun canPlace(
+    /** Returns what [choose] would return now, without counting a transfer. May be called by any thread. */
+    fun plan(
         exchange: CallerExchange,
         admitted: AdmittedRequest,
         service: String,
         candidates: List<RegisteredEndpoint>,
-        timeLeft: Duration,
-    ): Boolean {
-        val generation = describeGeneration(exchange, admitted)
+    ): PlannedGeneration {
+        val generation = describeGeneration(exchange, admitted, service)
         val placement = engineContext(admitted, service)?.let { context ->
             val weights = state.weightHistoryOf(generation.model)
             chooser.plan(generation, candidates, context, weights, maxSupersededTime)
         }
-        return placement?.isLikelyWithin(timeLeft) ?: false
+        return PlannedGeneration(generation, placement, state.settings.prefillTokensPerMillisecond)
+    }
+
+    /**
+     * Counts the load of the request of [exchange] at the replica that was chosen, or refuses the request if it is
+     * unlikely to finish within [timeLeft].
+     */
+    fun place(
+        exchange: CallerExchange,
+        admitted: AdmittedRequest,
+        planned: PlannedGeneration,
+        timeLeft: Duration,
+    ): PlacementDecision {
+        val placement = planned.placement
+        return when {
+            placement == null -> PlacementDecision.Refused("no_endpoint", NO_ENDPOINT_RETRY_AFTER)
+            !planned.isLikelyWithin(timeLeft) ->
+                PlacementDecision.Refused("overloaded", (placement.expectedFirstTokenMillis / 2).milliseconds)
+            else -> reserve(exchange, admitted, planned, placement)
+        }
     }
 
     private fun engineContext(admitted: AdmittedRequest, service: String): EngineContext? =
         admitted.activeConfiguration.configuration.services.getValue(service).engine
             ?.let { EngineContext(it, admitted.activeConfiguration.cacheStore) }
 
-    private fun Placement.isLikelyWithin(timeLeft: Duration): Boolean =
-        expectedFirstTokenMillis <= timeLeft.toDouble(DurationUnit.MILLISECONDS) * PLANNABLE_TIME_SHARE
-
-    private fun describeGeneration(exchange: CallerExchange, admitted: AdmittedRequest): Generation {
+    private fun describeGeneration(exchange: CallerExchange, admitted: AdmittedRequest, service: String): Generation {
         val caller = exchange.caller
         return Generation(
             model = caller.model.orEmpty(),
@@ -138,17 +148,20 @@
             isolatedAccount = admitted.account?.takeIf { it.isIsolated }?.name,
             firstTokenTimeLeft = (admitted.route.latencyTarget - exchange.elapsed())
                 .coerceAtLeast(MIN_FIRST_TOKEN_TARGET),
-            rank = Rank.ofPriority(admitted.account?.priority ?: admitted.route.priority),
-            isResumed = exchange.response.isCommitted,
+            rank = Rank.ofPriority(admitted.rank),
+            // The chooser does not defer a resumed generation, nor may it defer one whose lateness the gate decides.
+            isResumed = exchange.response.isCommitted || gate.isActive(admitted, service),
         )
     }
 
     private fun reserve(
         exchange: CallerExchange,
         admitted: AdmittedRequest,
-        generation: Generation,
+        planned: PlannedGeneration,
         placement: Placement,
     ): PlacementDecision {
+        val generation = planned.generation
+        val latePriority = planned.latePriority
         val endpoint = placement.endpoint
         log.write(
             "request_placed",
@@ -162,7 +175,7 @@
             "prompt" to generation.promptTokens,
             "expected_ms" to placement.expectedFirstTokenMillis.toLong(),
             "rank" to generation.rank,
-            "deferred" to placement.isDeferred.takeIf { it },
+            "deferred" to (placement.isDeferred || latePriority != null).takeIf { it },
             "calls" to state.loads.getOrCreate(endpoint.id).work().calls,
         )
         state.locations.recordSent(endpoint.id, placement.scope, generation.parts)
@@ -170,7 +183,7 @@
         val headers = ForwardedGeneration(
             cacheScope = placement.scope.value,
             expectedWeightsVersion = placement.version,
-            priority = Rank.replicaPriority(generation.rank, placement.isDeferred),
+            priority = latePriority ?: Rank.replicaPriority(generation.rank, placement.isDeferred),
             fetchFromAddress = placement.fetchAddress,
             saveToAddress = saveToAddress(admitted, generation, placement.scope),
         )
@@ -178,7 +191,7 @@
             endpoint,
             headers,
             startLimit(generation.model, placement.version),
-            observe(placement, generation.rank),
+            observe(placement, generation.rank, isLate = placement.isDeferred || latePriority != null),
         )
     }
 
@@ -188,11 +201,12 @@
         }
 
     // Compares the time to first token with the expected one, unless the generation yields to others for long.
-    private fun observe(placement: Placement, rank: Int): LoadReservation {
+    private fun observe(placement: Placement, rank: Int, isLate: Boolean): LoadReservation {
         val load = state.loads.getOrCreate(placement.endpoint.id)
+        val work = if (isLate && !placement.isDeferred) placement.work.asDeferred() else placement.work
         val placedAt = state.timeSource.markNow()
-        return LoadReservation(load, placement.work, rank) {
-            if (!placement.isDeferred) {
+        return LoadReservation(load, work, rank) {
+            if (!isLate) {
                 load.firstTokenPace.record(placedAt.elapsedNow(), placement.expectedFirstTokenMillis.milliseconds)
             }
         }
@@ -212,8 +226,6 @@
         const val MIN_NEW_TOKENS_TO_SAVE = 512
         val MIN_FIRST_TOKEN_TARGET = 50.milliseconds
 
-        // The remaining share of the time is for generating the output tokens.
-        const val PLANNABLE_TIME_SHARE = 0.8
         val NO_ENDPOINT_RETRY_AFTER = 300.milliseconds
 
         // Covers the time that a request may wait in a replica's queue before it begins.
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/RequestForwarder.kt
@@ -41,6 +41,7 @@
     private val hasEngine = admitted.activeConfiguration.configuration.services[service]?.engine != null
     private val isGeneration = exchange.caller.model != null && hasEngine
     private val serviceCalls = ServiceCallPlacer(exchange, admitted, service, hasEngine, context)
+    private val placer = GatedPlacer(exchange, admitted, service, context, ::timeLeft)
     private var lastServerError: BufferedResponse? = null
 
     /** IDs of the endpoints that the request was sent to, in order. */
@@ -56,7 +57,10 @@
             obstacle = retries.awaitRetry(outcome, sentEndpointIds.size)
         }
         quarantine.withdrawUnsentTrial()
-        if (retries.executions == 0) admitted.refund()
+        if (retries.executions == 0) {
+            admitted.refund()
+            placer.withdraw()
+        }
         ForwardingResult(completeResponse(outcome), outcome.failureReason, obstacle)
     }
 
@@ -74,22 +78,26 @@
     }
 
     private fun sendToReplica(candidates: List<RegisteredEndpoint>): AttemptOutcome =
-        when (val decision = context.choosers.generations.place(exchange, admitted, service, candidates, timeLeft())) {
+        when (val decision = placer.place(candidates, isFirstSend = sentEndpointIds.isEmpty())) {
             is PlacementDecision.Placed ->
                 decision.reservation.use {
-                    send(decision.endpoint, decision.headers, decision.startLimit, it::releasePrefill)
+                    send(decision.endpoint, decision.headers, decision.startLimit) {
+                        it.releasePrefill()
+                        placer.recordAnswer()
+                    }
                 }
+            PlacementDecision.Cancelled -> AttemptOutcome.Cancelled
             is PlacementDecision.Refused -> AttemptOutcome.Rejected(decision.reason, decision.retryAfter)
         }
 
     private fun sendToServiceEndpoint(candidates: List<RegisteredEndpoint>): AttemptOutcome =
         when (val decision = serviceCalls.place(candidates, timeLeft())) {
-            is GateDecision.Admitted -> decision.pass.use { pass ->
+            is CallGateDecision.Admitted -> decision.pass.use { pass ->
                 send(pass.endpoint, null, null) { if (!isStream) pass.recordAnswerRead() }
                     .also { pass.recordOutcome(it, exchange.cancelReason) }
             }
-            is GateDecision.Refused -> AttemptOutcome.Rejected(decision.reason, decision.retryAfter)
-            is GateDecision.Cancelled -> AttemptOutcome.Cancelled
+            is CallGateDecision.Refused -> AttemptOutcome.Rejected(decision.reason, decision.retryAfter)
+            is CallGateDecision.Cancelled -> AttemptOutcome.Cancelled
         }
 
     // Called by other threads. A gateway that stops may end before another endpoint has sent the rest of a stream.
@@ -98,7 +106,7 @@
         if (mustStay || !relay.canContinue || quarantine.isQuarantined) return false
         val free = candidates.selectFree(service, sentIds)
         return if (isGeneration) {
-            context.choosers.generations.canPlace(exchange, admitted, service, free, timeLeft())
+            placer.canPlace(free)
         } else {
             serviceCalls.canPlace(free, timeLeft())
         }
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/ServiceCallGate.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/ServiceCallGate.kt
@@ -29,15 +29,15 @@
 )
 
 /** Decision of a [ServiceCallGate]. */
-internal sealed interface GateDecision {
+internal sealed interface CallGateDecision {
     /** The call is sent to the endpoint of [pass], which must be closed, after having waited for [waited]. */
-    class Admitted(val pass: CallPass, val waited: Duration) : GateDecision
+    class Admitted(val pass: CallPass, val waited: Duration) : CallGateDecision
 
     /** The call is not sent. */
-    class Refused(val reason: String, val retryAfter: Duration) : GateDecision
+    class Refused(val reason: String, val retryAfter: Duration) : CallGateDecision
 
     /** The request was cancelled while it waited. */
-    data object Cancelled : GateDecision
+    data object Cancelled : CallGateDecision
 }
 
 /**
@@ -82,7 +82,7 @@
     fun hasRoom(endpoints: List<RegisteredEndpoint>): Boolean = chooser.chooseWithRoom(endpoints) != null
 
     /** Takes a place at an endpoint for [call]. Blocks the thread while the call waits. */
-    fun enter(call: GatedCall): GateDecision {
+    fun enter(call: GatedCall): CallGateDecision {
         val admission = admissions[call.service] ?: admissions.computeIfAbsent(call.service) { createAdmission() }
         val waiter = Waiter(call)
         val startedAt = state.timeSource.markNow()
@@ -96,9 +96,9 @@
             events.record(call, decision, waiter.pass?.endpoint, waited, admission.waitingCalls)
         }
         return when (decision) {
-            CallDecision.Admitted -> GateDecision.Admitted(checkNotNull(waiter.pass), waited)
-            CallDecision.Waiting -> GateDecision.Cancelled
-            is CallDecision.Refused -> GateDecision.Refused(decision.reason.code, decision.retryAfter)
+            CallDecision.Admitted -> CallGateDecision.Admitted(checkNotNull(waiter.pass), waited)
+            CallDecision.Waiting -> CallGateDecision.Cancelled
+            is CallDecision.Refused -> CallGateDecision.Refused(decision.reason.code, decision.retryAfter)
         }
     }
 
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/ServiceCallPlacer.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/ServiceCallPlacer.kt
@@ -25,7 +25,7 @@
     private var waited = Duration.ZERO
 
     /** Takes a place at an endpoint of [candidates] for an attempt that has [timeLeft]. May block the thread. */
-    fun place(candidates: List<RegisteredEndpoint>, timeLeft: Duration): GateDecision =
+    fun place(candidates: List<RegisteredEndpoint>, timeLeft: Duration): CallGateDecision =
         if (isGated(candidates)) enterGate(candidates, timeLeft) else choose(candidates, timeLeft)
 
     /** Returns true if an endpoint of [candidates] could take a request that has [timeLeft] now. */
@@ -38,26 +38,26 @@
     private fun isGated(candidates: List<RegisteredEndpoint>) =
         context.state.settings.admitsByLoad && !hasEngine && candidates.isNotEmpty() && candidates.all { it.slots > 0 }
 
-    private fun enterGate(candidates: List<RegisteredEndpoint>, timeLeft: Duration): GateDecision {
+    private fun enterGate(candidates: List<RegisteredEndpoint>, timeLeft: Duration): CallGateDecision {
         val rank = admitted.account?.priority ?: route.priority
         val serviceTime = candidates.minOf { loads.getOrCreate(it.id).averageServiceTime }
         val target = route.latencyTarget.takeIf { it > Duration.ZERO } ?: (route.timeout / DEFAULT_TARGET_DIVISOR)
-        if (serviceTime > timeLeft) return GateDecision.Refused("overloaded", serviceTime / 2)
+        if (serviceTime > timeLeft) return CallGateDecision.Refused("overloaded", serviceTime / 2)
         // The bound on the wait holds for all attempts of the request together.
         val maxWait = minOf(target / 2 - waited, timeLeft - serviceTime).coerceAtLeast(Duration.ZERO)
         val decision = gate.enter(GatedCall(exchange, service, rank, maxWait, candidates))
-        if (decision is GateDecision.Admitted) waited += decision.waited
+        if (decision is CallGateDecision.Admitted) waited += decision.waited
         return decision
     }
 
-    private fun choose(candidates: List<RegisteredEndpoint>, timeLeft: Duration): GateDecision {
-        val endpoint = chooser.choose(candidates) ?: return GateDecision.Refused("no_endpoint", DEFAULT_RETRY_AFTER)
+    private fun choose(candidates: List<RegisteredEndpoint>, timeLeft: Duration): CallGateDecision {
+        val endpoint = chooser.choose(candidates) ?: return CallGateDecision.Refused("no_endpoint", DEFAULT_RETRY_AFTER)
         val expectedDuration = chooser.expectedDuration(endpoint)
         return if (expectedDuration > timeLeft) {
-            GateDecision.Refused("overloaded", expectedDuration / 2)
+            CallGateDecision.Refused("overloaded", expectedDuration / 2)
         } else {
             val load = loads.getOrCreate(endpoint.id)
-            GateDecision.Admitted(CallPass(endpoint, load, null, context.state.timeSource) {}, Duration.ZERO)
+            CallGateDecision.Admitted(CallPass(endpoint, load, null, context.state.timeSource) {}, Duration.ZERO)
         }
     }
 
--- a/library/src/test/kotlin/org/celerywalk/limit/PlainServiceModel.kt
+++ b/library/src/test/kotlin/org/celerywalk/limit/PlainServiceModel.kt
@@ -98,7 +98,7 @@
         private val admission = CallAdmission(clock, random, ::tryStart, ::decide)
 
         fun report(peer: Gateway) {
-            val work = endpoints.associate { it.id to peer.loads.getOrCreate(it.id).ownWork }
+            val work = endpoints.associate { it.id to peer.loads.getOrCreate(it.id).ownRankedWork }
             loads.recordPeerReport("g${peer.number}", work, isComplete = true)
         }
 
