--- a/library/src/main/kotlin/org/celerywalk/endpoint/RegisteredEndpoint.kt
+++ b/library/src/main/kotlin/org/celerywalk/endpoint/RegisteredEndpoint.kt
@@ -9,6 +9,7 @@
  * @property isDraining true while the endpoint drains.
  * @property startedAtMillis wall-clock time of the start in milliseconds since the epoch, null if unknown.
  * @property models weights version by model; empty for plain services.
+ * @property softwareVersion version of the endpoint's software, null if it registers none.
  */
 public data class RegisteredEndpoint(
     val id: String,
@@ -19,6 +20,7 @@
     val isDraining: Boolean,
     val startedAtMillis: Long?,
     val models: Map<String, Int>,
+    val softwareVersion: String? = null,
 ) {
     /** The start that registered this entry. */
     val start: EndpointStart get() = EndpointStart(id, startedAtMillis)
