Roll out versions of a service in the gateway

Roll-outs are enabled by bounds.canary-share, bounds.canary-allowance or bounds.rollback-ms; without them no object of a roll-out exists.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/FleetState.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/FleetState.kt
@@ -5,6 +5,7 @@
 import org.celerywalk.endpoint.EndpointDirectory
 import org.celerywalk.fleet.AccountDefinition
 import org.celerywalk.fleet.FleetConfiguration
+import org.celerywalk.gateway.rollout.RolloutRouting
 import org.celerywalk.gateway.store.RegistrySync
 import org.celerywalk.key.AccountKeys
 import org.celerywalk.key.StoreConfirmation
@@ -58,6 +59,9 @@
     val locations = PartLocations(timeSource, SENT_PART_TTL)
     val streams = RelocatableStreams(timeSource)
     val quarantine = PromptPartQuarantine(timeSource)
+
+    /** Roll-outs of services, or null if the settings allow none. */
+    val rollouts = settings.bounds.rollouts?.let { RolloutRouting(settings.instance, it, timeSource) }
     val quotas = ConcurrentHashMap<String, FleetQuota>()
     private val retryBudgets = ConcurrentHashMap<String, RetryBudget>()
     private class PeerConfiguration(val version: Long, val reportedAt: ComparableTimeMark)
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
@@ -17,6 +17,8 @@
 import org.celerywalk.gateway.peers.Membership
 import org.celerywalk.gateway.peers.PeerExchange
 import org.celerywalk.gateway.peers.StoreLink
+import org.celerywalk.gateway.rollout.RolloutController
+import org.celerywalk.gateway.rollout.RolloutPeers
 import org.celerywalk.gateway.store.QuarantineSync
 import org.celerywalk.gateway.store.StoreEvents
 import org.celerywalk.gateway.store.StoreSync
@@ -76,6 +78,8 @@
         WeightRolloutController(state, lease, replicas, log, { !lease.isHeld && peers.peerHoldsLease }) {
             peers.sendSoon()
         }
+    private val rollouts: RolloutController? =
+        state.rollouts?.let { RolloutController(state, it, table, OtherGateways(), log) }
     private val timers: ScheduledExecutorService = ScheduledThreadPoolExecutor(1) { task ->
         Thread(task, "timeouts").apply { isDaemon = true }
     }.apply { removeOnCancelPolicy = true }
@@ -111,6 +115,7 @@
         quarantineSync.start()
         cacheEvents.start()
         weightRollout.start()
+        startRollouts()
         log.write("listening")
     }
 
@@ -124,6 +129,7 @@
         val stoppedAt = timeSource.markNow()
         plannedStop.begin()
         weightRollout.stopOrdering()
+        rollouts?.stopWriting()
         membership.leave()
         while (!plannedStop.isRefusing) sleep(DRAIN_CHECK_INTERVAL)
         awaitOpenRequests { plannedStop.timeLeft }
@@ -140,6 +146,20 @@
         log.close()
     }
 
+    private fun startRollouts() {
+        val routing = state.rollouts ?: return
+        metrics.registerGauges("celerywalk.rollout.phase", "service") {
+            routing.current.mapValues { (_, rollout) -> rollout.phase.ordinal }
+        }
+        metrics.registerGauges("celerywalk.rollout.responses", "service") {
+            routing.current.mapValues { (_, rollout) -> rollout.totals.values.sumOf { it.new.responses } }
+        }
+        metrics.registerGauges("celerywalk.rollout.bad.responses", "service") {
+            routing.current.mapValues { (_, rollout) -> rollout.totals.values.sumOf { it.new.failures + it.new.slow } }
+        }
+        rollouts?.start()
+    }
+
     private fun awaitOpenRequests(timeLeft: () -> Duration) {
         while (timeLeft() > Duration.ZERO && handler.openRequestCount > 0) sleep(DRAIN_CHECK_INTERVAL)
     }
@@ -186,6 +206,17 @@
             !plannedStop.hasBegun && lease.isHeld && storeSync.hasReadWithin(LEASE_CLAIM_MAX_AGE)
 
         override fun readSoon() = storeSync.readSoon()
+
+        override fun rolloutReports() = rollouts?.reports().orEmpty()
+    }
+
+    private inner class OtherGateways : RolloutPeers {
+        override fun mayWrite(): Boolean =
+            (lease.isHeld || !peers.peerHoldsLease) && lease.confirmedFencingToken() != null
+
+        override fun silence(): Map<String, Duration> = membership.silence
+
+        override fun sendSoon() = peers.sendSoon()
     }
 
     private inner class Pages : StatusPages {
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewaySettings.kt
@@ -49,6 +49,7 @@
  * @property endpointDrain time from an endpoint's announcement that it drains until it may get no more requests.
  * @property weightsDeadline time from the announcement of new weights until no request may start on older ones.
  * @property quotaOverage share of its rate by which a client account may exceed it.
+ * @property rollouts limits of roll-outs, or null if there are none.
  */
 public data class GatewayBounds(
     val keyWithdrawal: Duration,
@@ -60,4 +61,14 @@
     val endpointDrain: Duration,
     val weightsDeadline: Duration,
     val quotaOverage: Double,
+    val rollouts: RolloutBounds? = null,
 )
+
+/**
+ * Limits of the exposure to a new version of a service.
+ *
+ * @property canaryShare share of the requests to the service, between 0 and 1.
+ * @property allowance requests in addition to that share, for retries and requests in flight. No gateway spends it.
+ * @property rollback time from the 50th bad response until the version gets no more requests. Gateways stop sooner.
+ */
+public data class RolloutBounds(val canaryShare: Double, val allowance: Int, val rollback: Duration)
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewaySettingsFile.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewaySettingsFile.kt
@@ -55,9 +55,21 @@
                 endpointDrain = millis("bounds.endpoint-drain-ms"),
                 weightsDeadline = millis("bounds.weights-deadline-ms"),
                 quotaOverage = number("bounds.quota-overage"),
+                rollouts = rollouts(),
             ),
         )
 
+        // The keys are optional; any of them enables roll-outs.
+        private fun rollouts(): RolloutBounds? {
+            val keys = listOf("bounds.canary-share", "bounds.canary-allowance", "bounds.rollback-ms")
+            if (keys.all { nodeAt(it).isMissingNode }) return null
+            val (share, allowance, rollback) = keys.zip(ROLLOUT_DEFAULTS) { key, default ->
+                if (nodeAt(key).isMissingNode) default else number(key)
+            }
+            if (share >= 1) errors += "bounds.canary-share: '$share'; expected a number below 1"
+            return RolloutBounds(share, allowance.toInt(), rollback.milliseconds)
+        }
+
         private fun nodeAt(key: String): JsonNode = key.split('.').fold(root) { node, name -> node.path(name) }
 
         private fun text(key: String): String {
@@ -81,4 +93,9 @@
             return address ?: SocketAddress(value, 0)
         }
     }
+
+    private const val DEFAULT_CANARY_SHARE = 0.1
+    private const val DEFAULT_ALLOWANCE = 50.0
+    private const val DEFAULT_ROLLBACK_MILLIS = 5_000.0
+    private val ROLLOUT_DEFAULTS = listOf(DEFAULT_CANARY_SHARE, DEFAULT_ALLOWANCE, DEFAULT_ROLLBACK_MILLIS)
 }
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/EndpointSender.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/EndpointSender.kt
@@ -84,6 +84,10 @@
             state.streams.recordCompletion(expectedTokens, duration)
         }
         recordHealth(endpoint, outcome, duration)
+        // A request that was cancelled is a response only if the endpoint had the time for one.
+        if (exchange.cancelReason == null || duration >= minObservationTime(endpoint)) {
+            state.rollouts?.recordOutcome(route.name, endpoint, outcome, duration)
+        }
         logSend(endpoint, outcome)
         return outcome
     }
@@ -218,6 +222,7 @@
             "request_sent",
             "id" to exchange.caller.attemptId,
             "endpoint" to endpoint.id,
+            "version" to endpoint.softwareVersion.takeIf { state.rollouts != null },
             "outcome" to outcomeName,
             "reason" to outcome.failureReason,
             "ms" to exchange.elapsed().inWholeMilliseconds,
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/RequestForwarder.kt
@@ -37,7 +37,8 @@
     private val sender = EndpointSender(exchange, route, admitted.body, relay, context.state, context.sendContext)
     private val candidates = CandidateSelector(context.state, context.random)
     private val quarantine = context.quarantine.begin(exchange.caller)
-    private val retries = RequestRetries(exchange, route, budget, relay, ::timeLeft)
+    private val timeLeft: () -> Duration = { timeout - exchange.elapsed() }
+    private val retries = RequestRetries(exchange, route, budget, relay, timeLeft)
     private val isStream = route.kind == RequestKind.STREAMING
     private val isGeneration = exchange.caller.model != null &&
         admitted.activeConfiguration.configuration.services[service]?.engine != null
@@ -60,18 +61,21 @@
         ForwardingResult(completeResponse(outcome), outcome.failureReason, obstacle)
     }
 
-    private fun timeLeft(): Duration = timeout - exchange.elapsed()
-
     private fun sendToNextEndpoint(): AttemptOutcome {
         quarantine.reject()?.let { return it }
-        val selection = candidates.select(service, sentEndpointIds, mayRepeat = retries.mustGoOn)
-        return when {
+        val selections = candidates.selections(service, route.name, sentEndpointIds, mayRepeat = retries.mustGoOn)
+        // A request that the few replicas of a new version have no room for goes to the others.
+        return selections.map { it to sendToOneOf(it) }
+            .first { (selection, outcome) -> !selection.isCanary || outcome !is AttemptOutcome.Rejected }.second
+    }
+
+    private fun sendToOneOf(selection: CandidateSelection): AttemptOutcome =
+        when {
             exchange.cancelReason != null -> AttemptOutcome.Cancelled
             selection.pauseEnd != null -> AttemptOutcome.Rejected("endpoints_pause", selection.pauseEnd)
             isGeneration -> sendToReplica(selection.endpoints)
             else -> sendToServiceEndpoint(selection.endpoints)
         }
-    }
 
     private fun sendToReplica(candidates: List<RegisteredEndpoint>): AttemptOutcome =
         when (val decision = context.choosers.generations.place(exchange, admitted, service, candidates, timeLeft())) {
@@ -113,6 +117,7 @@
         onBodyRead: () -> Unit,
     ): AttemptOutcome {
         sentEndpointIds += endpoint.id
+        if (sentEndpointIds.size == 1) context.state.rollouts?.recordFirstSend(route.name, endpoint)
         val forwarded = ForwardedRequest(
             endpointId = endpoint.id,
             timeLeft = (timeLeft() - RESPONSE_DELIVERY_TIME).coerceAtLeast(1.milliseconds),
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/peers/Membership.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/peers/Membership.kt
@@ -60,6 +60,10 @@
     /** Addresses of the other gateways. */
     val peerAddresses: List<SocketAddress> get() = members.values.map { it.address }
 
+    /** Time since each other gateway was heard, infinite if it never was. */
+    val silence: Map<String, Duration>
+        get() = members.mapValues { (_, member) -> member.lastHeardAt?.elapsedNow() ?: Duration.INFINITE }
+
     /** Number of gateways, including this one. */
     val gatewayCount: Int get() = members.size + 1
 
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/peers/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/peers/PeerExchange.kt
@@ -12,6 +12,7 @@
 import org.celerywalk.gateway.SocketAddress
 import org.celerywalk.gateway.endpoints.CacheEventSubscriptions
 import org.celerywalk.instance.ExchangeTiming
+import org.celerywalk.rollout.RolloutReport
 import org.celerywalk.weights.WeightHistory
 import org.jctools.queues.MpscArrayQueue
 import java.io.IOException
@@ -30,6 +31,9 @@
     /** Returns true if this gateway holds the lease for weight orders. */
     fun holdsLease(): Boolean
 
+    /** Returns what this gateway reports about roll-outs, by service. */
+    fun rolloutReports(): Map<String, RolloutReport> = emptyMap()
+
     /** Reads the store soon, since a peer has read something newer. */
     fun readSoon()
 }
@@ -178,6 +182,7 @@
             placements = buildList { placements.drain(::add) },
             leavingEndpoints = state.directory.notices.leavingStarts,
             holdsLease = store.holdsLease(),
+            rollouts = store.rolloutReports(),
         )
     }
 
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/peers/PeerState.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/peers/PeerState.kt
@@ -3,6 +3,7 @@
 import org.celerywalk.cache.CacheEvents
 import org.celerywalk.endpoint.EndpointStart
 import org.celerywalk.quarantine.PartEvidence
+import org.celerywalk.rollout.RolloutReport
 import org.celerywalk.routing.EndpointWork
 import kotlin.time.Duration
 
@@ -30,6 +31,7 @@
  * @property cacheEvents events of the caches that the sender reads, by holder; without events, its position in them.
  * @property suspectParts what the sender knows of prompt parts under which endpoints crashed.
  * @property leavingEndpoints endpoints that have told the sender that they are leaving.
+ * @property rollouts what the sender knows of roll-outs, by service.
  * @property holdsLease true if the sender holds the lease for weight orders.
  */
 internal data class PeerState(
@@ -51,6 +53,7 @@
     val suspectParts: Map<String, PartEvidence> = emptyMap(),
     val leavingEndpoints: Set<EndpointStart> = emptySet(),
     val holdsLease: Boolean = false,
+    val rollouts: Map<String, RolloutReport> = emptyMap(),
 ) {
     /**
      * Returns this complete state without what [previous], the complete state of the last message, had already, and
@@ -68,6 +71,7 @@
         versions = versions.changesSince(previous.versions),
         weightAges = emptyMap(),
         leavingEndpoints = leavingEndpoints - previous.leavingEndpoints,
+        rollouts = rollouts.changesSince(previous.rollouts),
     )
 
     private fun <V> Map<String, V>.changesSince(previous: Map<String, V>): Map<String, V> =
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/peers/PeerStateCodec.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/peers/PeerStateCodec.kt
@@ -25,6 +25,7 @@
     private const val WEIGHT_AGES = "weight-ages"
     private const val CACHES = "caches"
     private const val SUSPECTS = "suspects"
+    private const val ROLLOUTS = "rollouts"
     private const val PLACEMENT_FIELDS = 3
 
     fun encode(state: PeerState): ByteArray {
@@ -55,6 +56,9 @@
                 state.leavingEndpoints.forEach { EndpointStartCodec.encode(it, array.addArray()) }
             }
         }
+        root.putEach(ROLLOUTS, state.rollouts) { service, report ->
+            RolloutReportCodec.encode(report, putObject(service))
+        }
         if (state.holdsLease) root.put(LEASE, true)
         return JsonTree.encode(root)
     }
@@ -86,6 +90,9 @@
             suspectParts = root.path(SUSPECTS).toMap(PartEvidenceCodec::decode),
             leavingEndpoints = root.path(LEAVING).mapNotNull(EndpointStartCodec::decode).toSet(),
             holdsLease = root.path(LEASE).asBoolean(),
+            rollouts = root.path(ROLLOUTS).properties().mapNotNull { (service, report) ->
+                RolloutReportCodec.decode(service, report)?.let { service to it }
+            }.toMap(),
         )
     }
 
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/peers/PeerStateReceiver.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/peers/PeerStateReceiver.kt
@@ -8,6 +8,8 @@
 import org.celerywalk.gateway.SocketAddress
 import org.celerywalk.gateway.weights.WeightChangeTracker
 import org.celerywalk.instance.ExchangeTiming
+import org.celerywalk.platform.wire.RolloutDocument
+import org.celerywalk.rollout.RolloutReport
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -76,12 +78,19 @@
         state.directory.notices.mergeLeaving(message.leavingEndpoints).forEach {
             log.write("endpoint_says_leaving", "endpoint" to it.id, "peer" to message.sender)
         }
+        message.rollouts.forEach { (service, report) -> applyRollout(message.sender, service, report) }
         message.configuration?.let(state::recordPeerConfiguration)
         if (message.holdsLease) peerLeaseReportedAt = state.timeSource.markNow()
         applyConfirmation(message)
         if (namesNewerState(message)) events.onNewerStoreState()
     }
 
+    private fun applyRollout(peer: String, service: String, report: RolloutReport) {
+        if (state.rollouts?.merge(peer, report) != true) return
+        val phase = RolloutDocument.phaseName(report.phase)
+        log.write("rollout_phase", "service" to service, "to" to report.order.version, "phase" to phase, "peer" to peer)
+    }
+
     private fun namesNewerState(message: PeerState): Boolean {
         val ownVersion = state.activeConfiguration?.configuration?.version
         val hasNewerConfiguration =
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/store/OperatorsSync.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/store/OperatorsSync.kt
@@ -6,9 +6,11 @@
 import org.celerywalk.gateway.EventLog
 import org.celerywalk.gateway.FleetState
 import org.celerywalk.gateway.PeriodicTask
+import org.celerywalk.gateway.rollout.readOrder
 import org.celerywalk.platform.wire.CallError
 import org.celerywalk.platform.wire.FleetDocument
 import org.celerywalk.platform.wire.PlatformTable
+import org.celerywalk.platform.wire.RolloutDocument
 import org.celerywalk.platform.wire.StoredRow
 import org.celerywalk.table.RewrittenContent
 import java.util.zip.CRC32
@@ -179,6 +181,9 @@
         val isApplied = when {
             row.key == CONFIGURATION_KEY -> applyConfiguration(read, row)
             row.key.startsWith(WEIGHTS_PREFIX) -> true.also { applyWeights(row) }
+            row.key.startsWith(RolloutDocument.KEY_PREFIX) -> true.also {
+                state.rollouts?.readOrder(row, table.era.number, log)
+            }
             else -> true
         }
         if (isApplied) read.position.appliedVersions[row.key] = row.version
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/weights/OrderLeaseManager.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/weights/OrderLeaseManager.kt
@@ -14,7 +14,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
 
-/** Acquires and renews the lease for sending weight orders, in the platform's table. Used by one thread. */
+/** Acquires and renews the lease for orders in the platform's table. Safe for use from several threads. */
 internal class OrderLeaseManager(
     private val settings: GatewaySettings,
     private val table: PlatformTable,
@@ -50,6 +50,7 @@
     val isHeld: Boolean get() = state.held != null
 
     /** Renews the lease if necessary and returns its fencing token, or null if this process may not send orders now. */
+    @Synchronized
     fun confirmedFencingToken(): Long? {
         val lastRenewedAt = state.renewedAt
         if (state.held == null || lastRenewedAt == null || lastRenewedAt.elapsedNow() > VALIDITY) renew()
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/GatewaySettingsFileTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/GatewaySettingsFileTest.kt
@@ -27,8 +27,26 @@
     @Test
     fun `the deployment template contains every required key`() {
         val template = Files.readString(Path.of("../deploy/gateway.yaml"))
-        val filled = template.replace(Regex("""\{\{(listen\.|provider\.)[^}]*}}"""), "10.0.0.1:80")
+        assertEquals(null, parseTemplate(template.replace(SECTION, "")).bounds.rollouts)
+        val filled = template.replace(SECTION) { it.groupValues[2].replace("{{.}}", "0.2") }
+        assertEquals(0.2, parseTemplate(filled).bounds.rollouts?.canaryShare)
+    }
+
+    @Test
+    fun `a canary share of all requests is an error`() {
+        val text = Files.readString(Path.of("../deploy/gateway.yaml")).replace(SECTION, "") + "\n  canary-share: 1\n"
+        val errors = GatewaySettingsFile.parse(fill(text)).fold({ it }, { emptyList() })
+        assertTrue(errors.single().startsWith("bounds.canary-share:"), "$errors")
+    }
+
+    private fun parseTemplate(template: String): GatewaySettings =
+        GatewaySettingsFile.parse(fill(template)).fold({ error(it.joinToString()) }, { it })
+
+    private fun fill(template: String): String =
+        template.replace(Regex("""\{\{(listen\.|provider\.)[^}]*}}"""), "10.0.0.1:80")
             .replace(Regex("""\{\{[^}]*}}"""), "7")
-        assertEquals(emptyList(), GatewaySettingsFile.parse(filled).fold({ it }, { emptyList() }))
+
+    private companion object {
+        val SECTION = Regex("""\{\{#([^}]*)}}(.*?)\{\{/\1}}""")
     }
 }
--- a/library/src/test/kotlin/org/celerywalk/rollout/SimulatedRollout.kt
+++ b/library/src/test/kotlin/org/celerywalk/rollout/SimulatedRollout.kt
@@ -108,10 +108,7 @@
         val isCanary = gateway.tryTakeCanary(route)
         val arm = if (isCanary) RolloutArm.NEW else gateway.mainArm
         if (arm == RolloutArm.OLD) gateway.recordOldRequest(route)
-        val isLoaded = gateway.phase != RolloutPhase.CANARY
-        val shows = now >= fault.from && (fault.route ?: route) == route && (!fault.onlyUnderLoad || isLoaded)
-        val isDisrupted = faults.disruption > 0 && now in disruptedFrom..disruptedFrom + DISRUPTION
-        val isVersionBad = arm == RolloutArm.NEW && shows && random.nextDouble() < fault.share
+        val isVersionBad = arm == RolloutArm.NEW && shows(route, gateway) && random.nextDouble() < fault.share
         val isFleetBad = random.nextDouble() < if (isDisrupted) faults.disruption else BASE_FAILURES
         sent += Sent(now, arm, isVersionBad || isFleetBad)
         val base = (20 + 70 * random.nextDouble()).milliseconds
@@ -123,6 +120,13 @@
         }
     }
 
+    private val isDisrupted get() = faults.disruption > 0 && now in disruptedFrom..disruptedFrom + DISRUPTION
+
+    private fun shows(route: String, gateway: GatewayRollout): Boolean {
+        val isLoaded = gateway.phase != RolloutPhase.CANARY
+        return now >= fault.from && (fault.route ?: route) == route && (!fault.onlyUnderLoad || isLoaded)
+    }
+
     private fun report(name: Int, gateway: GatewayRollout) {
         gateway.judge()
         val report = gateway.report(oldCalls = 0)
