--- a/cli/src/main/kotlin/org/celerywalk/cli/RequestTimeline.kt
+++ b/cli/src/main/kotlin/org/celerywalk/cli/RequestTimeline.kt
@@ -19,7 +19,8 @@
             "configuration_adopted", "weights_named", "weights_ordered", "weights_order_ended", "endpoint_added",
             "endpoint_leaving", "endpoint_removed", "endpoint_ejected", "store_lost", "store_back", "start", "stop",
             "lease_won", "lease_lost", "log_dropped", "cache_reset", "endpoint_says_leaving", "endpoint_pauses",
-            "endpoint_replaced", "endpoint_crashed", "part_quarantined",
+            "endpoint_replaced", "endpoint_crashed", "part_quarantined", "rollout_ordered", "rollout_phase",
+            "rollout_refused", "rollout_worse", "rollout_written",
         )
 
         /**
