--- a/library/src/test/kotlin/org/celerywalk/rollout/RolloutScheduleTest.kt
+++ b/library/src/test/kotlin/org/celerywalk/rollout/RolloutScheduleTest.kt
@@ -15,6 +15,7 @@
         println("false rollbacks: $wrong of ${runs.size}")
         assertTrue(wrong <= MAX_FALSE_ROLLBACKS, "$wrong of ${runs.size} good versions were not completed")
         runs.filter { it.outcome == RolloutPhase.COMPLETED }.forEach(::checkStatus)
+        runs.forEach(::checkCanaryShare)
     }
 
     @Test
@@ -52,6 +53,16 @@
         assertEquals(1, run.finalWrites.distinct().size, "${run.finalWrites}")
     }
 
+    // The share is kept at each moment, since a fault may begin at any.
+    private fun checkCanaryShare(run: SimulatedRollout) {
+        var canary = 0
+        run.sent.forEachIndexed { index, sent ->
+            if (sent.isCanary) canary++
+            val limit = (index + 1) * SimulatedRollout.SHARE
+            assertTrue(canary <= limit, "$canary of ${index + 1} requests reached the version before its promotion")
+        }
+    }
+
     private fun checkExposure(run: SimulatedRollout) {
         val sent = run.sent.filter { it.at <= SimulatedRollout.DURATION }
         val new = sent.filter { it.arm == RolloutArm.NEW }
--- a/library/src/test/kotlin/org/celerywalk/rollout/SimulatedRollout.kt
+++ b/library/src/test/kotlin/org/celerywalk/rollout/SimulatedRollout.kt
@@ -41,10 +41,9 @@
     private val seed: Int,
     private val fault: VersionFault,
     private val faults: FleetFaults,
-    private val creditShare: Double = SHARE,
 ) {
     /** What a request met, [at] after the order. */
-    class Sent(val at: Duration, val arm: RolloutArm, val isBad: Boolean)
+    class Sent(val at: Duration, val arm: RolloutArm, val isCanary: Boolean, val isBad: Boolean)
 
     private class Late(val at: Duration, val act: () -> Unit)
 
@@ -89,7 +88,7 @@
     }
 
     private fun start(name: Int) {
-        gateways[name] = GatewayRollout("g$name", order, creditShare, random.nextLong(), time)
+        gateways[name] = GatewayRollout("g$name", order, SHARE, random.nextLong(), time)
         // A gateway that starts reads the row.
         if (isStoreUp) row?.current?.let { gateways.getValue(name).advance(it.phase, it.order) }
     }
@@ -110,7 +109,7 @@
         if (arm == RolloutArm.OLD) gateway.recordOldRequest(route)
         val isVersionBad = arm == RolloutArm.NEW && shows(route, gateway) && random.nextDouble() < fault.share
         val isFleetBad = random.nextDouble() < if (isDisrupted) faults.disruption else BASE_FAILURES
-        sent += Sent(now, arm, isVersionBad || isFleetBad)
+        sent += Sent(now, arm, isCanary, isVersionBad || isFleetBad)
         val base = (20 + 70 * random.nextDouble()).milliseconds
         val taken = if (isVersionBad && fault.isSlow) base * 8 else base
         late += Late(now + taken) {
