--- a/cli/src/main/kotlin/org/celerywalk/cli/RequestTimeline.kt
+++ b/cli/src/main/kotlin/org/celerywalk/cli/RequestTimeline.kt
@@ -21,6 +21,7 @@
             "lease_won", "lease_lost", "log_dropped", "cache_reset", "endpoint_says_leaving", "endpoint_pauses",
             "endpoint_replaced", "endpoint_crashed", "part_quarantined", "endpoint_limit", "endpoint_slow",
             "endpoint_fast",
+            "rollout_ordered", "rollout_phase", "rollout_refused", "rollout_worse", "rollout_written",
         )
 
         /**
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayMetrics.kt
@@ -38,14 +38,6 @@
     public fun recordSend(service: String, outcome: String): Unit =
         incrementCounter("celerywalk.sends", "service", service, "outcome", outcome)
 
-    /** Records that a call to [service] was refused because its endpoints had no room. */
-    public fun recordCallRefusal(service: String, reason: String): Unit =
-        incrementCounter("celerywalk.call.refusals", "service", service, "reason", reason)
-
-    /** Records an [event] of the admission to the replicas of [service]. */
-    public fun recordAdmission(service: String, event: String): Unit =
-        incrementCounter("celerywalk.admission", "service", service, "event", event)
-
     /** Records a call to the platform's store. */
     public fun recordStoreCall(step: String): Unit = incrementCounter("celerywalk.store.calls", "step", step)
 
@@ -92,7 +84,8 @@
         return registry.scrape()
     }
 
-    private fun incrementCounter(name: String, vararg tags: String, by: Long = 1) {
+    /** Adds [by] to the counter [name] with [tags], which are pairs of a label and its value. */
+    internal fun incrementCounter(name: String, vararg tags: String, by: Long = 1) {
         counters.computeIfAbsent(Series(name, tags.asList())) { LongAdder() }.add(by)
     }
 
@@ -101,3 +94,11 @@
         val LATENCY_BUCKETS = listOf(25, 50, 100, 200, 400, 600, 1_000, 2_000, 6_000).map { it.milliseconds }
     }
 }
+
+/** Records that a call to [service] was refused because its endpoints had no room. */
+internal fun GatewayMetrics.recordCallRefusal(service: String, reason: String) =
+    incrementCounter("celerywalk.call.refusals", "service", service, "reason", reason)
+
+/** Records an [event] of the admission to the replicas of [service]. */
+internal fun GatewayMetrics.recordAdmission(service: String, event: String) =
+    incrementCounter("celerywalk.admission", "service", service, "event", event)
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/admission/GenerationGate.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/admission/GenerationGate.kt
@@ -6,6 +6,7 @@
 import org.celerywalk.gateway.FleetState
 import org.celerywalk.gateway.GatewayMetrics
 import org.celerywalk.gateway.callers.CallerExchange
+import org.celerywalk.gateway.recordAdmission
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
 
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/CallGateEvents.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/CallGateEvents.kt
@@ -4,6 +4,7 @@
 import org.celerywalk.gateway.EventLog
 import org.celerywalk.gateway.FleetState
 import org.celerywalk.gateway.GatewayMetrics
+import org.celerywalk.gateway.recordCallRefusal
 import org.celerywalk.limit.CallDecision
 import org.celerywalk.limit.EndpointCapacity
 import java.util.concurrent.ConcurrentHashMap
