--- a/bench/src/main/kotlin/org/celerywalk/bench/admission/AdmissionComparison.kt
+++ b/bench/src/main/kotlin/org/celerywalk/bench/admission/AdmissionComparison.kt
@@ -6,7 +6,7 @@
 internal class AdmissionComparison(private val gateways: Int, private val seeds: Int) {
     /** Returns the counts of all seeds together. */
     fun measure(mix: Mix, load: Double, treatment: Treatment): Goodput = Goodput().apply {
-        (1..seeds).forEach { add(AdmissionSimulation(Scene(mix, load, treatment, gateways), it).execute()) }
+        for (seed in 1..seeds) add(AdmissionSimulation(Scene(mix, load, treatment, gateways), seed).execute())
     }
 
     /** Returns a table of the value per second and the share of requests on time by account and kind. */
--- a/bench/src/main/kotlin/org/celerywalk/bench/admission/Traffic.kt
+++ b/bench/src/main/kotlin/org/celerywalk/bench/admission/Traffic.kt
@@ -18,7 +18,9 @@
 }
 
 /** Requests of one account and kind, with their offered load as a share of the capacity of all replicas. */
-internal data class Stream(val account: String, val kind: Kind, val load: Double)
+internal data class Stream(val account: String, val kind: Kind, val load: Double) {
+    fun scaledBy(factor: Double): Stream = copy(load = load * factor)
+}
 
 /**
  * Request that a caller sends to the gateway number [gateway] at [time] of the run.
@@ -34,27 +36,31 @@
 internal enum class Mix(val title: String, val streams: (load: Double) -> List<Stream>) {
     /** Two accounts stay within what they need; the long prompts of `burst` make up the rest of the load. */
     BURST("burst of long prompts of one account", { load ->
-        listOf(
-            Stream("urgent", Kind.SHORT, load = 0.3),
-            Stream("steady", Kind.LONG, load = 0.1),
-            Stream("burst", Kind.LONG, load = load - 0.4),
-        )
+        val others = listOf(Stream("urgent", Kind.SHORT, load = 0.3), Stream("steady", Kind.LONG, load = 0.1))
+        others + Stream("burst", Kind.LONG, load - others.sumOf { it.load })
     }),
 
     /** Three accounts that send most, in other proportions, beside a small one. */
     HOT_ACCOUNTS("several hot accounts", { load ->
-        listOf("a" to 0.45, "b" to 0.3, "c" to 0.2, "small" to 0.05).flatMap { (account, share) ->
-            listOf(Stream(account, Kind.SHORT, load * share * 0.4), Stream(account, Kind.LONG, load * share * 0.6))
-        }
+        listOf(
+            Stream("a", Kind.SHORT, load = 0.18),
+            Stream("a", Kind.LONG, load = 0.27),
+            Stream("b", Kind.SHORT, load = 0.12),
+            Stream("b", Kind.LONG, load = 0.18),
+            Stream("c", Kind.SHORT, load = 0.08),
+            Stream("c", Kind.LONG, load = 0.12),
+            Stream("small", Kind.SHORT, load = 0.02),
+            Stream("small", Kind.LONG, load = 0.03),
+        ).map { it.scaledBy(load) }
     }),
 
     /** Urgent requests alone exceed the capacity from 170 % on. */
     URGENT("urgent requests of two accounts", { load ->
         listOf(
-            Stream("a", Kind.SHORT, load * 0.4),
-            Stream("b", Kind.SHORT, load * 0.2),
-            Stream("b", Kind.LONG, load * 0.4),
-        )
+            Stream("a", Kind.SHORT, load = 0.4),
+            Stream("b", Kind.SHORT, load = 0.2),
+            Stream("b", Kind.LONG, load = 0.4),
+        ).map { it.scaledBy(load) }
     }),
     ;
 
