--- a/cli/src/main/kotlin/org/celerywalk/cli/Celerywalk.kt
+++ b/cli/src/main/kotlin/org/celerywalk/cli/Celerywalk.kt
@@ -18,6 +18,7 @@
         ConfigShow(),
         ConfigHistory(),
     ),
+    CommandGroup("fleet", "Checks the configuration of a fleet with gateways.").subcommands(FleetCheck()),
     CommandGroup("key", "Issues and withdraws API keys.").subcommands(KeyIssue(), KeyWithdraw()),
     CommandGroup("token", "Creates operator tokens.").subcommands(TokenCreate()),
     CommandGroup("endpoint", "Lists and drains endpoints.").subcommands(EndpointList(), EndpointDrain()),
--- a/cli/src/main/kotlin/org/celerywalk/cli/ExitCode.kt
+++ b/cli/src/main/kotlin/org/celerywalk/cli/ExitCode.kt
@@ -5,7 +5,7 @@
 /** Exit codes of all commands; [meaning] is printed in the help. */
 internal enum class ExitCode(val meaning: String) {
     OK("success, or nothing to do"),
-    USAGE("invalid options or arguments"),
+    USAGE("invalid options or arguments; for 'fleet check' also: warnings but no errors"),
     INVALID("a file, an argument or the resulting document is invalid; all errors are listed"),
     CONFLICT("the section has changed since the version on which the change is based"),
     FORBIDDEN("the token is unknown or its team does not own the section"),
--- a/cli/src/main/kotlin/org/celerywalk/cli/Options.kt
+++ b/cli/src/main/kotlin/org/celerywalk/cli/Options.kt
@@ -49,9 +49,13 @@
 
     override fun helpEpilog(context: Context): String = "Example: ${context.theme.info(example)}"
 
-    /** Prints [textLines] in text format, or [jsonFields] as one JSON object. */
-    fun print(jsonFields: Map<String, Any?>, textLines: () -> List<String>) {
-        if (output == Format.JSON) echo(JSON.writeValueAsString(jsonFields)) else textLines().forEach { echo(it) }
+    /** Prints [textLines] in text format, or [jsonFields] as one JSON object, which [asJson] selects too. */
+    fun print(jsonFields: Map<String, Any?>, asJson: Boolean = false, textLines: () -> List<String>) {
+        if (asJson || output == Format.JSON) {
+            echo(JSON.writeValueAsString(jsonFields))
+        } else {
+            textLines().forEach { echo(it) }
+        }
     }
 
     private companion object {
