Mend what the review of the ranked placement found

Cause: the pace of a replica was compared with an estimate that contained the pace, so that a replica 4 times slower read as 1.95 (numeric trial of the reviewer); errors and broken answers counted as first tokens; ranks, interrupted chunks and preemption changed placements also where the settings don't ask for admission by load; preemption counted work of more urgent ranks; a blank list of contracts kept a gateway from starting. Change: the pace is recorded against the estimate without it, and only for events of streams; all of it applies only with GatewaySettings.admitsByLoad; only less urgent work counts as preempted; the setting contracts is optional. Ranks without work cost nothing in a placement.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewayDaemon.kt
@@ -178,7 +178,14 @@
 
     private fun createForwardingContext(): ForwardingContext {
         val prefillSpeed = settings.prefillTokensPerMillisecond
-        val chooser = ModelReplicaChooser(timeSource, state.loads, state.locations, settings.dataCentre, prefillSpeed)
+        val chooser = ModelReplicaChooser(
+            timeSource,
+            state.loads,
+            state.locations,
+            settings.dataCentre,
+            prefillSpeed,
+            ranksWork = settings.admitsByLoad,
+        )
         val client = EndpointClient()
         return ForwardingContext(
             state,
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/GatewaySettingsFile.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/GatewaySettingsFile.kt
@@ -46,7 +46,7 @@
             peerPort = number("peer-port").toInt(),
             store = address("store"),
             prefillTokensPerMillisecond = number("prefill-tokens-per-ms"),
-            admitsByLoad = DeploymentContracts.askForAdmission(text("contracts")),
+            admitsByLoad = DeploymentContracts.askForAdmission(nodeAt("contracts").asText()),
             bounds = GatewayBounds(
                 keyWithdrawal = millis("bounds.key-withdrawal-ms"),
                 stopGrace = number("bounds.stop-grace-s").seconds,
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/GenerationPlacer.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/GenerationPlacer.kt
@@ -50,7 +50,7 @@
     private val rank: Int = Rank.MOST_URGENT,
     private val onFirstToken: () -> Unit = {},
 ) : AutoCloseable {
-    private var hasFirstToken = false
+    private var isReleased = false
     private var prefill = EndpointWork(
         queuedPrefillTokens = work.queuedPrefillTokens,
         deferredPrefillTokens = work.deferredPrefillTokens,
@@ -61,13 +61,17 @@
         load.add(work, rank)
     }
 
-    /** Removes the prefill from the load once the replica has generated the first token. Later calls have no effect. */
-    fun releasePrefill() {
-        if (hasFirstToken) return
-        hasFirstToken = true
+    /**
+     * Removes the prefill from the load once the replica has begun to answer. Later calls have no effect.
+     *
+     * @param hasToken false if the answer is an error or has broken off, which tells nothing about the replica's pace.
+     */
+    fun releasePrefill(hasToken: Boolean) {
+        if (isReleased) return
+        isReleased = true
         load.remove(prefill, rank)
         prefill = EndpointWork()
-        onFirstToken()
+        if (hasToken) onFirstToken()
     }
 
     override fun close() {
@@ -148,7 +152,7 @@
             isolatedAccount = admitted.account?.takeIf { it.isIsolated }?.name,
             firstTokenTimeLeft = (admitted.route.latencyTarget - exchange.elapsed())
                 .coerceAtLeast(MIN_FIRST_TOKEN_TARGET),
-            rank = Rank.ofPriority(admitted.rank),
+            rank = if (state.settings.admitsByLoad) Rank.ofPriority(admitted.rank) else Rank.MOST_URGENT,
             // The chooser does not defer a resumed generation, nor may it defer one whose lateness the gate decides.
             isResumed = exchange.response.isCommitted || gate.isActive(admitted, service),
         )
@@ -183,7 +187,7 @@
         val headers = ForwardedGeneration(
             cacheScope = placement.scope.value,
             expectedWeightsVersion = placement.version,
-            priority = latePriority ?: Rank.replicaPriority(generation.rank, placement.isDeferred),
+            priority = latePriority ?: replicaPriority(admitted, generation, placement),
             fetchFromAddress = placement.fetchAddress,
             saveToAddress = saveToAddress(admitted, generation, placement.scope),
         )
@@ -200,14 +204,20 @@
             (state.settings.bounds.weightsDeadline - START_MARGIN - supersededTime).coerceAtLeast(Duration.ZERO)
         }
 
+    private fun replicaPriority(admitted: AdmittedRequest, generation: Generation, placement: Placement): Int = when {
+        state.settings.admitsByLoad -> Rank.replicaPriority(generation.rank, placement.isDeferred)
+        placement.isDeferred -> AdmittedRequest.LOWEST_RANK
+        else -> admitted.rank
+    }
+
     // Compares the time to first token with the expected one, unless the generation yields to others for long.
     private fun observe(placement: Placement, rank: Int, isLate: Boolean): LoadReservation {
         val load = state.loads.getOrCreate(placement.endpoint.id)
         val work = if (isLate && !placement.isDeferred) placement.work.asDeferred() else placement.work
         val placedAt = state.timeSource.markNow()
         return LoadReservation(load, work, rank) {
-            if (!isLate) {
-                load.firstTokenPace.record(placedAt.elapsedNow(), placement.expectedFirstTokenMillis.milliseconds)
+            if (!isLate && state.settings.admitsByLoad) {
+                load.firstTokenPace.record(placedAt.elapsedNow(), placement.unscaledFirstTokenMillis.milliseconds)
             }
         }
     }
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/RequestForwarder.kt
@@ -86,7 +86,7 @@
             is PlacementDecision.Placed ->
                 decision.reservation.use {
                     send(decision.endpoint, decision.headers, decision.startLimit) {
-                        it.releasePrefill()
+                        it.releasePrefill(hasToken = isStream && relay.hasAnswerBegun)
                         placer.recordAnswer()
                     }
                 }
--- a/library/src/main/kotlin/org/celerywalk/routing/EndpointLoad.kt
+++ b/library/src/main/kotlin/org/celerywalk/routing/EndpointLoad.kt
@@ -111,6 +111,7 @@
         var aheadIfDeferred = EndpointWork()
         var total = EndpointWork()
         totalWork.forEachIndexed { index, work ->
+            if (work == NO_WORK) return@forEachIndexed
             total += work
             if (index <= rank) {
                 ahead += work.withoutDeferred()
@@ -178,6 +179,7 @@
 
     private companion object {
         val INITIAL_SERVICE_TIME = 30.milliseconds
+        val NO_WORK = EndpointWork()
     }
 }
 
--- a/library/src/main/kotlin/org/celerywalk/routing/FirstTokenPace.kt
+++ b/library/src/main/kotlin/org/celerywalk/routing/FirstTokenPace.kt
@@ -21,9 +21,14 @@
 
     /** Factor by which times to first token lately exceed the expected ones. */
     public val slowdown: Double
-        @Synchronized get() = exp(decayedLogarithm()).coerceIn(MIN_SLOWDOWN, MAX_SLOWDOWN)
-
-    /** Records that a generation got its first token after [observed], and was expected to get it after [expected]. */
+        @Synchronized get() =
+            if (updatedAt == null) 1.0 else exp(decayedLogarithm()).coerceIn(MIN_SLOWDOWN, MAX_SLOWDOWN)
+
+    /**
+     * Records that a generation got its first token after [observed], and was expected to get it after [expected].
+     *
+     * The expectation must not include [slowdown], which would otherwise count twice.
+     */
     @Synchronized
     public fun record(observed: Duration, expected: Duration) {
         val ratio = (observed + RATIO_OFFSET) / (expected + RATIO_OFFSET)
--- a/library/src/main/kotlin/org/celerywalk/routing/Generation.kt
+++ b/library/src/main/kotlin/org/celerywalk/routing/Generation.kt
@@ -38,6 +38,7 @@
  * @property fetchAddress address of a replica or cache store that holds a longer prefix of the prompt, or null.
  * @property fetchTokens prompt tokens to fetch from there, 0 if none.
  * @property expectedFirstTokenMillis expected time to first token.
+ * @property unscaledFirstTokenMillis the expected time without the replica's pace, see [FirstTokenPace].
  * @property isDeferred true if the generation would miss its target anyway and yields to generations that would not.
  * @property work load that the generation adds to the replica.
  */
@@ -50,5 +51,6 @@
     val fetchTokens: Int,
     val expectedFirstTokenMillis: Double,
     val work: EndpointWork,
+    val unscaledFirstTokenMillis: Double = expectedFirstTokenMillis,
     val isDeferred: Boolean = false,
 )
--- a/library/src/main/kotlin/org/celerywalk/routing/ModelReplicaChooser.kt
+++ b/library/src/main/kotlin/org/celerywalk/routing/ModelReplicaChooser.kt
@@ -19,6 +19,7 @@
  *
  * @param dataCentre data centre of this process.
  * @param prefillTokensPerMilli prefill throughput that is assumed for each replica, in tokens per millisecond.
+ * @param ranksWork true if generations have different ranks, so that less urgent work may be interrupted.
  */
 public class ModelReplicaChooser(
     private val timeSource: TimeSource.WithComparableMarks,
@@ -26,6 +27,7 @@
     private val locations: PartLocations,
     private val dataCentre: String,
     private val prefillTokensPerMilli: Double,
+    private val ranksWork: Boolean = true,
 ) {
     private val createdAt = timeSource.markNow()
 
@@ -210,8 +212,8 @@
             val ownMillis = prefillTokens / prefillTokensPerMilli + (fetch?.millis ?: 0.0) +
                 replicaWork.total.calls * DECODE_MILLIS_PER_CALL
             val slowdown = load.firstTokenPace.slowdown
-            val expectedFirstTokenMillis =
-                (ownMillis + waitMillis(replicaWork.ahead) + chunkMillis(replicaWork)) * slowdown
+            val unscaledMillis = ownMillis + waitMillis(replicaWork.ahead) + chunkMillis(replicaWork)
+            val expectedFirstTokenMillis = unscaledMillis * slowdown
             val work =
                 EndpointWork(1, prefillTokens.toLong(), (generation.promptTokens + generation.outputTokens).toLong())
             val placement = Placement(
@@ -223,6 +225,7 @@
                 fetchedTokens,
                 expectedFirstTokenMillis,
                 work,
+                unscaledMillis,
             )
             return ScoredPlacement(
                 placement,
@@ -243,6 +246,7 @@
 
         // A replica that reads a less urgent prompt finishes the chunk in progress first.
         private fun chunkMillis(work: WorkAhead): Double {
+            if (!ranksWork) return 0.0
             val othersTokens = work.total.queuedPrefillTokens + work.total.deferredPrefillTokens -
                 work.ahead.queuedPrefillTokens
             return minOf(othersTokens, CHUNK_IN_PROGRESS_TOKENS) / prefillTokensPerMilli
@@ -250,10 +254,12 @@
 
         // Prompts that lose their KV cache to this generation have to be read again.
         private fun preemptionMillis(work: WorkAhead): Double {
+            if (!ranksWork) return 0.0
             val neededTokens = (generation.promptTokens + generation.outputTokens).toDouble()
-            val missingTokens =
-                work.total.cacheTokens + neededTokens - context.engine.cacheTokens * USABLE_CACHE_SHARE
-            return missingTokens.coerceIn(0.0, neededTokens) / prefillTokensPerMilli
+            val usableTokens = context.engine.cacheTokens * USABLE_CACHE_SHARE
+            val preemptibleTokens = (work.total.cacheTokens - work.ahead.cacheTokens).toDouble()
+            val missingTokens = work.total.cacheTokens + neededTokens - usableTokens
+            return missingTokens.coerceIn(0.0, minOf(neededTokens, preemptibleTokens)) / prefillTokensPerMilli
         }
 
         private fun penaltyMillis(placement: Placement): Double {
