Rank requests by the account's priority first, then by the route's

Cause: an account's priority replaced the route's. Change: RequestRanks orders the pairs of both priorities at each service. Late requests come after those in time, by rank.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/FleetState.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/FleetState.kt
@@ -5,6 +5,7 @@
 import org.celerywalk.endpoint.EndpointDirectory
 import org.celerywalk.fleet.AccountDefinition
 import org.celerywalk.fleet.FleetConfiguration
+import org.celerywalk.fleet.RequestRanks
 import org.celerywalk.gateway.rollout.RolloutRouting
 import org.celerywalk.gateway.store.RegistrySync
 import org.celerywalk.key.AccountKeys
@@ -32,6 +33,7 @@
 internal class ActiveConfiguration(val configuration: FleetConfiguration, val checksum: Long) {
     val routes = RouteTable(configuration.routes)
     val keys = configuration.accounts?.let(::AccountKeys)
+    val ranks = RequestRanks(configuration)
 
     /** Store that keeps KV cache outside the replicas, or null if the fleet has none. */
     val cacheStore = configuration.services.values.firstNotNullOfOrNull { it.cacheStore }
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/admission/Admission.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/admission/Admission.kt
@@ -29,8 +29,11 @@
     private val quota: FleetQuota?,
     private val cost: Double,
 ) {
-    /** Urgency of the request at the replicas; 0 is the most urgent. */
-    val rank: Int get() = (account?.priority ?: route.priority).coerceIn(0, LOWEST_RANK)
+    /** Priority of the account, or of the route if the account has none; 0 is the most urgent. */
+    val priority: Int get() = (account?.priority ?: route.priority).coerceIn(0, LOWEST_PRIORITY)
+
+    /** Returns the urgency of the request at [service]; 0 is the most urgent. */
+    fun rankAt(service: String): Int = activeConfiguration.ranks.rankOf(service, route, account)
 
     /** Returns the request's cost to the quota; to be called if no endpoint executed the request. */
     fun refund() {
@@ -38,7 +41,7 @@
     }
 
     companion object {
-        const val LOWEST_RANK = 9
+        const val LOWEST_PRIORITY = 9
     }
 }
 
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/admission/GenerationGate.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/admission/GenerationGate.kt
@@ -7,6 +7,7 @@
 import org.celerywalk.gateway.GatewayMetrics
 import org.celerywalk.gateway.callers.CallerExchange
 import org.celerywalk.gateway.recordAdmission
+import org.celerywalk.routing.Rank
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
 
@@ -69,8 +70,8 @@
         val gate = gates.computeIfAbsent(service) { ServiceGate(state, it) { account -> weight(account) } }
         gate.queue.lateRank = policy.lateRank(service)
         gate.recordCosts()
-        val request = describe(exchange, admitted, room)
-        val visit = GateVisit(exchange, request, gate, room, policy.latePriority(service, request.rank))
+        val request = describe(exchange, admitted, service, room)
+        val visit = GateVisit(exchange, request, gate, room, Rank.replicaPriority(request.rank, isDeferred = true))
         return when (val admission = gate.queue.offer(request, room.timeToStart)) {
             is Admission.Waiting -> decide(visit, gate.awaitDecision(exchange, request, estimateRoom), hasWaited = true)
             else -> decide(visit, admission, hasWaited = false)
@@ -119,7 +120,12 @@
         )
     }
 
-    private fun describe(exchange: CallerExchange, admitted: AdmittedRequest, room: ExpectedRoom): AdmissionRequest {
+    private fun describe(
+        exchange: CallerExchange,
+        admitted: AdmittedRequest,
+        service: String,
+        room: ExpectedRoom,
+    ): AdmissionRequest {
         val arrivedAt = state.timeSource.markNow() - exchange.elapsed()
         // A route without a target only limits the time until the complete answer.
         val target = admitted.route.latencyTarget.takeIf { it > Duration.ZERO } ?: admitted.route.timeout
@@ -127,7 +133,7 @@
         return AdmissionRequest(
             account = admitted.account?.name.orEmpty(),
             route = admitted.route.name,
-            rank = admitted.rank,
+            rank = Rank.ofPriority(admitted.rankAt(service)),
             work = room.work,
             arrivedAt = arrivedAt,
             latestStart = arrivedAt + startTime,
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/GenerationPlacer.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/GenerationPlacer.kt
@@ -152,7 +152,7 @@
             isolatedAccount = admitted.account?.takeIf { it.isIsolated }?.name,
             firstTokenTimeLeft = (admitted.route.latencyTarget - exchange.elapsed())
                 .coerceAtLeast(MIN_FIRST_TOKEN_TARGET),
-            rank = if (state.settings.admitsByLoad) Rank.ofPriority(admitted.rank) else Rank.MOST_URGENT,
+            rank = if (state.settings.admitsByLoad) Rank.ofPriority(admitted.rankAt(service)) else Rank.MOST_URGENT,
             // The chooser does not defer a resumed generation, nor may it defer one whose lateness the gate decides.
             isResumed = exchange.response.isCommitted || gate.isActive(admitted, service),
         )
@@ -206,8 +206,8 @@
 
     private fun replicaPriority(admitted: AdmittedRequest, generation: Generation, placement: Placement): Int = when {
         state.settings.admitsByLoad -> Rank.replicaPriority(generation.rank, placement.isDeferred)
-        placement.isDeferred -> AdmittedRequest.LOWEST_RANK
-        else -> admitted.rank
+        placement.isDeferred -> AdmittedRequest.LOWEST_PRIORITY
+        else -> admitted.priority
     }
 
     // Compares the time to first token with the expected one, unless the generation yields to others for long.
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/ServiceCallPlacer.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/ServiceCallPlacer.kt
@@ -39,7 +39,7 @@
         context.state.settings.admitsByLoad && !hasEngine && candidates.isNotEmpty() && candidates.all { it.slots > 0 }
 
     private fun enterGate(candidates: List<RegisteredEndpoint>, timeLeft: Duration): CallGateDecision {
-        val rank = admitted.account?.priority ?: route.priority
+        val rank = admitted.rankAt(service)
         val serviceTime = candidates.minOf { loads.getOrCreate(it.id).averageServiceTime }
         val target = route.latencyTarget.takeIf { it > Duration.ZERO } ?: (route.timeout / DEFAULT_TARGET_DIVISOR)
         if (serviceTime > timeLeft) return CallGateDecision.Refused("overloaded", serviceTime / 2)
