Share the steps of choosing and planning a placement

Cause: choose and plan of GenerationPlacer differed in one call only. Change: one private function takes the call.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/GenerationPlacer.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/GenerationPlacer.kt
@@ -16,6 +16,7 @@
 import org.celerywalk.routing.ModelReplicaChooser
 import org.celerywalk.routing.Placement
 import org.celerywalk.routing.Rank
+import org.celerywalk.weights.WeightHistory
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -95,13 +96,8 @@
         admitted: AdmittedRequest,
         service: String,
         candidates: List<RegisteredEndpoint>,
-    ): PlannedGeneration {
-        val generation = describeGeneration(exchange, admitted, service)
-        val placement = engineContext(admitted, service)?.let { context ->
-            val weights = state.weightHistoryOf(generation.model)
-            chooser.choose(generation, candidates, context, weights, maxSupersededTime)
-        }
-        return PlannedGeneration(generation, placement, state.settings.prefillTokensPerMillisecond)
+    ): PlannedGeneration = planWith(exchange, admitted, service) { generation, context, weights ->
+        chooser.choose(generation, candidates, context, weights, maxSupersededTime)
     }
 
     /** Returns what [choose] would return now, without counting a transfer. May be called by any thread. */
@@ -110,12 +106,21 @@
         admitted: AdmittedRequest,
         service: String,
         candidates: List<RegisteredEndpoint>,
+    ): PlannedGeneration = planWith(exchange, admitted, service) { generation, context, weights ->
+        chooser.plan(generation, candidates, context, weights, maxSupersededTime)
+    }
+
+    private inline fun planWith(
+        exchange: CallerExchange,
+        admitted: AdmittedRequest,
+        service: String,
+        choosePlacement: (Generation, EngineContext, WeightHistory) -> Placement?,
     ): PlannedGeneration {
         val generation = describeGeneration(exchange, admitted, service)
-        val placement = engineContext(admitted, service)?.let { context ->
-            val weights = state.weightHistoryOf(generation.model)
-            chooser.plan(generation, candidates, context, weights, maxSupersededTime)
-        }
+        val configuration = admitted.activeConfiguration
+        val placement = configuration.configuration.services.getValue(service).engine
+            ?.let { EngineContext(it, configuration.cacheStore) }
+            ?.let { choosePlacement(generation, it, state.weightHistoryOf(generation.model)) }
         return PlannedGeneration(generation, placement, state.settings.prefillTokensPerMillisecond)
     }
 
@@ -138,10 +143,6 @@
         }
     }
 
-    private fun engineContext(admitted: AdmittedRequest, service: String): EngineContext? =
-        admitted.activeConfiguration.configuration.services.getValue(service).engine
-            ?.let { EngineContext(it, admitted.activeConfiguration.cacheStore) }
-
     private fun describeGeneration(exchange: CallerExchange, admitted: AdmittedRequest, service: String): Generation {
         val caller = exchange.caller
         return Generation(
