Run the waits of RelocatedStreamTest on threads of their own

The stand-in waits on the common pool, which has six threads on this machine of seven cores; waits of the seven tests before held them, so that the stand-in never sent the rest. On ten cores the pool had threads left. Change: the test has a thread pool of its own, closed with it. What it asserts is unchanged.

--- a/gateway/src/test/kotlin/org/celerywalk/gateway/RelocatedStreamTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/RelocatedStreamTest.kt
@@ -1,11 +1,13 @@
 package org.celerywalk.gateway
 
+import okhttp3.Call
 import okhttp3.Request
 import org.junit.jupiter.api.AfterEach
 import java.io.IOException
 import java.net.Socket
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CountDownLatch
+import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.locks.LockSupport
@@ -23,8 +25,14 @@
     private var beginning = FIRST_EVENT
     private var silenceMillis = 0L
 
+    // The common pool has one thread less than the machine has cores, and waits of earlier tests may hold all of them.
+    private val threads = Executors.newCachedThreadPool()
+
     @AfterEach
-    fun close() = fleet.close()
+    fun close() {
+        fleet.close()
+        threads.shutdownNow()
+    }
 
     // Guards against a stream that ends at the first refusal for which the retry budget has no retry left.
     @Test
@@ -70,7 +78,7 @@
     fun `a stopping gateway leaves its streams at their endpoints`() {
         start(refusedSends = 0, refusal = "")
         val received = callInBackground()
-        val stop = CompletableFuture.runAsync(fleet.gateway::stop)
+        val stop = CompletableFuture.runAsync(fleet.gateway::stop, threads)
         awaitUntil { !fleet.gateway.isReady() }
         reportWeightChanges("i-0")
         fleet.sendAsPeer("""{"name":"p","number":2,"leaving":[["i-2"]]}""")
@@ -150,8 +158,8 @@
     // Sends the rest of the stream once it may end, unless the gateway closes the connection before.
     private fun begin(request: ReceivedRequest, socket: Socket) {
         EndpointStandIn.stream(beginning, isComplete = false)(request, socket)
-        val isCancelled = CompletableFuture.supplyAsync { runCatching { socket.getInputStream().read() } }
-        val isEnded = CompletableFuture.runAsync(mayEnd::await)
+        val isCancelled = CompletableFuture.supplyAsync({ runCatching { socket.getInputStream().read() } }, threads)
+        val isEnded = CompletableFuture.runAsync(mayEnd::await, threads)
         CompletableFuture.anyOf(isCancelled, isEnded).get(30, TimeUnit.SECONDS)
         if (isEnded.isDone) {
             val lastChunk = "${REST.length.toString(radix = 16)}\r\n$REST\r\n0\r\n\r\n"
@@ -164,21 +172,22 @@
         addFields: Request.Builder.() -> Request.Builder = { this },
     ): CompletableFuture<String> {
         val request = fleet.request("resume").addFields().build()
-        val received = CompletableFuture.supplyAsync {
-            try {
-                fleet.gateway.client.newCall(request).execute().use {
-                    it.body.source().require(beginning.length.toLong())
-                    hasBegun.countDown()
-                    it.body.string()
-                }
-            } catch (e: IOException) {
-                "broken off: $e"
-            }
-        }
+        val call = fleet.gateway.client.newCall(request)
+        val received = CompletableFuture.supplyAsync({ receive(call) }, threads)
         assertTrue(hasBegun.await(30, TimeUnit.SECONDS))
         return received
     }
 
+    private fun receive(call: Call): String = try {
+        call.execute().use {
+            it.body.source().require(beginning.length.toLong())
+            hasBegun.countDown()
+            it.body.string()
+        }
+    } catch (e: IOException) {
+        "broken off: $e"
+    }
+
     private fun reportWeightChanges(vararg endpoints: String) =
         fleet.sendAsPeer("""{"name":"p","number":1,"changing":[${endpoints.joinToString(",") { "\"$it\"" }}]}""")
 
