Compute the ranks of requests only where they are used

Cause: RequestRanks was built with each version of the configuration, for all accounts and routes, also on deployments that don't admit requests by load; some have more than 1,000 routes and three versions a second. Change: built on first use, from the distinct priorities of accounts.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/FleetState.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/FleetState.kt
@@ -33,7 +33,9 @@
 internal class ActiveConfiguration(val configuration: FleetConfiguration, val checksum: Long) {
     val routes = RouteTable(configuration.routes)
     val keys = configuration.accounts?.let(::AccountKeys)
-    val ranks = RequestRanks(configuration)
+
+    /** Ranks of requests; computed only where requests are admitted by load, since configurations may change often. */
+    val ranks: RequestRanks by lazy { RequestRanks(configuration) }
 
     /** Store that keeps KV cache outside the replicas, or null if the fleet has none. */
     val cacheStore = configuration.services.values.firstNotNullOfOrNull { it.cacheStore }
--- a/library/src/main/kotlin/org/celerywalk/fleet/RequestRanks.kt
+++ b/library/src/main/kotlin/org/celerywalk/fleet/RequestRanks.kt
@@ -11,7 +11,7 @@
 public class RequestRanks(configuration: FleetConfiguration) {
     private data class Urgency(val precedence: Int, val routePriority: Int)
 
-    private val accounts = configuration.accounts.orEmpty()
+    private val accountPriorities = configuration.accounts.orEmpty().map { it.priority }.distinct()
     private val urgenciesByService = configuration.services.keys.associateWith { service ->
         configuration.routes.filter { route -> route.targets.any { it.service == service } }
             .flatMap { route -> possibleUrgencies(route) }
@@ -24,7 +24,7 @@
 
     /** Returns the rank at [service] of a request of [route] and [account], which is null without a key. */
     public fun rankOf(service: String, route: Route, account: AccountDefinition?): Int =
-        urgenciesByService[service]?.indexOf(urgency(route, account))?.coerceAtLeast(0) ?: 0
+        urgenciesByService[service]?.indexOf(urgency(route, account?.priority))?.coerceAtLeast(0) ?: 0
 
     /** Returns the last rank at [service] that a request of its most urgent routes can have, or -1 if it has none. */
     public fun lastUrgentRank(service: String): Int {
@@ -34,10 +34,11 @@
     }
 
     private fun possibleUrgencies(route: Route): List<Urgency> {
-        val keyless = if (accounts.isEmpty() || route.allowsAnonymous) listOf(urgency(route, null)) else emptyList()
-        return accounts.map { urgency(route, it) } + keyless
+        val isKeyless = accountPriorities.isEmpty() || route.allowsAnonymous
+        val priorities = if (isKeyless) accountPriorities + null else accountPriorities
+        return priorities.map { urgency(route, it) }
     }
 
-    private fun urgency(route: Route, account: AccountDefinition?) =
-        Urgency(account?.priority ?: route.priority, route.priority)
+    private fun urgency(route: Route, accountPriority: Int?) =
+        Urgency(accountPriority ?: route.priority, route.priority)
 }
