--- a/review/standin-2/ReplicaOutage.java
+++ b/review/standin-2/ReplicaOutage.java
@@ -1,4 +1,5 @@
 import java.io.IOException;
+import java.io.OutputStream;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BrokenBarrierException;
@@ -17,6 +18,24 @@
     private static final long RECOVERY_MILLIS = 12_000;
     private static final int REPLICAS = 8;
     private static final int CLIENTS = 60;
+    private static final int READ_TOKENS_PER_MILLI = 50;
+
+    /** Model replica that reads one prompt at a time, so that prompts wait for their turn under load. */
+    private static final class ReadingReplica extends Replica {
+        private final Object reading = new Object();
+
+        ReadingReplica(Deployment deployment, String address, String id) throws IOException {
+            super(address, id, "petal-lm", "m0", 1, deployment.store, deployment.record);
+        }
+
+        @Override
+        void respond(Message request, String attempt, int tokens, OutputStream out) throws IOException {
+            synchronized (reading) {
+                pause(tokens / READ_TOKENS_PER_MILLI);
+            }
+            super.respond(request, attempt, 0, out);
+        }
+    }
 
     private record Sent(long at, boolean isServed) {}
 
@@ -42,7 +61,9 @@
             List.of(Deployment.modelService("petal-lm", "m0")),
             List.of(tenant));
         deployment.nameWeights("m0", 1);
-        for (int i = 0; i < REPLICAS; i++) deployment.model("petal-lm", "m0", 1);
+        for (int i = 0; i < REPLICAS; i++) {
+            deployment.add(new ReadingReplica(deployment, deployment.nextHost(), "i-" + (1000 + i)));
+        }
         deployment.start(2);
         Replica.pause(2000);
         long begin = deployment.record.millis();
@@ -99,8 +120,7 @@
         try {
             for (Replica replica : crashed) {
                 String id = "i-" + (3000 + deployment.replicas.size());
-                deployment.add(new Replica(replica.address, id, "petal-lm", "m0", 1, deployment.store,
-                    deployment.record));
+                deployment.add(new ReadingReplica(deployment, replica.address, id));
             }
             deployment.record.line("all replicas are back");
         } catch (IOException e) {
