--- a/review/standin-2/Listener.java
+++ b/review/standin-2/Listener.java
@@ -58,6 +58,8 @@
             try {
                 Socket connection = server.accept();
                 connections.add(connection);
+                // The server may have been closed after it had accepted the connection.
+                if (server.isClosed()) reset(connection);
                 daemon(() -> serve(connection));
             } catch (IOException ignored) {
                 // The server was closed, or the caller has left.
