--- a/review/standin-2/Deployment.java
+++ b/review/standin-2/Deployment.java
@@ -1,3 +1,4 @@
+import java.io.File;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -26,7 +27,7 @@
     /** Opens the record in [caseFolder]; the working directory is the root of the repository. */
     Deployment(String caseFolder) throws IOException {
         record = new Record(Path.of(caseFolder, "record.txt"));
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> gateways.forEach(Gateway::end)));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> gateways.forEach(Gateway::kill)));
     }
 
     Replica model(String service, String model, long weights) throws IOException {
@@ -120,9 +121,12 @@
 
     @Override
     public void close() {
-        gateways.forEach(Gateway::end);
+        gateways.forEach(Gateway::kill);
         replicas.forEach(Listener::close);
         store.close();
         record.close();
+        File[] files = folder.toFile().listFiles();
+        if (files != null) Arrays.stream(files).forEach(File::delete);
+        folder.toFile().delete();
     }
 }
--- a/review/standin-2/Gateway.java
+++ b/review/standin-2/Gateway.java
@@ -123,18 +123,17 @@
         }
     }
 
-    void signal(String signal) throws IOException {
+    /** Ends the process without notice and waits for its end. */
+    void kill() {
+        if (process == null) return;
+        process.destroyForcibly();
         try {
-            new ProcessBuilder("kill", "-" + signal, String.valueOf(process.pid())).start().waitFor();
+            process.waitFor(5, TimeUnit.SECONDS);
         } catch (InterruptedException e) {
-            throw new IOException(e);
+            throw new IllegalStateException(e);
         }
     }
 
-    void end() {
-        if (process != null) process.destroyForcibly();
-    }
-
     List<String> logLines(String event) throws IOException {
         List<String> lines = new ArrayList<>();
         for (String line : Files.readAllLines(log)) if (line.contains("\"event\":\"" + event + "\"")) lines.add(line);
--- a/review/standin-2/ReplicaOutage.java
+++ b/review/standin-2/ReplicaOutage.java
@@ -80,7 +80,7 @@
             crashAll(crashed);
             Listener.daemon(() -> startAgain(crashed));
             Replica.pause(KILL_AFTER_MILLIS);
-            for (Gateway gateway : deployment.gateways) gateway.signal("KILL");
+            for (Gateway gateway : deployment.gateways) gateway.kill();
             deployment.record.line("all processes killed");
             Replica.pause(PROCESSES_DOWN_MILLIS);
             for (Gateway gateway : deployment.gateways) gateway.start();
