--- a/review/standin-2/DeadlyPart.java
+++ b/review/standin-2/DeadlyPart.java
@@ -102,6 +102,7 @@
             Replica.pause(50);
         }
         Replica.pause(16_000);
+        if (beforeSent.get() < 20 || sent.get() < 20) throw new IllegalStateException("too few sound requests");
         double shareBefore = (double) beforeBegun.get() / beforeSent.get();
         double share = (double) begun.get() / sent.get();
         long crashes = deployment.replicas.stream().filter(replica -> !replica.isRegistering).count();
--- a/review/standin-2/LargeAnswers.java
+++ b/review/standin-2/LargeAnswers.java
@@ -84,13 +84,19 @@
             try (Client client = new Client(deployment.gateways.get(0).callers, 8000)) {
                 Client.Answer answer = null;
                 while (deployment.record.millis() < end && (answer == null || answer.fault == null)) {
+                    boolean isKept = answer != null;
                     String attempt = "swap-" + NUMBER.incrementAndGet();
                     String fields = Deployment.call(attempt, "key-of-florist", 4000);
                     answer = deployment.exchange(client, attempt,
                         Client.request("POST", "/swap/2f", Deployment.HOST, fields, "{}"));
-                    boolean isLost = answer.fault != null && executed.contains(attempt);
-                    if (isLost) deployment.record.line("LOST: %s has run and got no answer", attempt);
-                    (isLost ? lost : answered).incrementAndGet();
+                    // The rule counts connections that are closed without an answer, and kept ones only.
+                    boolean isUnanswered = answer.isClosedUnanswered() && executed.contains(attempt);
+                    if (isUnanswered) {
+                        deployment.record.line("%s: %s has run and got no answer", isKept ? "LOST" : "NEW CONNECTION",
+                            attempt);
+                    }
+                    if (isUnanswered && isKept) lost.incrementAndGet();
+                    if (answer.fault == null) answered.incrementAndGet();
                     Replica.pause(200);
                 }
             } catch (IOException e) {
