--- a/entry/src/main/kotlin/org/celerywalk/entry/chat/Relay.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/chat/Relay.kt
@@ -32,7 +32,7 @@
     private val timeSource = context.timeSource
     private val stream = AnswerStream()
     private val attempts = AttemptSequence(generation, replicaSelector, observer)
-    private val quarantine = GenerationQuarantine(generation, context.quarantine, observer)
+    private val quarantine = GenerationQuarantine(generation, context.quarantine, observer, timeSource)
     private val startedAt = timeSource.markNow()
     private var lastProgressAt: ComparableTimeMark = startedAt
     private var lastWriteAt: ComparableTimeMark = startedAt
@@ -133,7 +133,7 @@
     @Synchronized
     private fun onRefused(attempt: Attempt, event: StreamEvent.Refused) {
         if (attempt !== attempts.current || hasEnded) return
-        quarantine.recordRefusal(attempt.target, event, hasForwardedText)
+        quarantine.recordRefusal(attempt.target, event)
         replicaSelector.recordRefusal(attempt.target, event)
         takeStep(stream.handleEvent(attempt.id, event))
     }
@@ -149,11 +149,11 @@
             is StreamStep.Forward -> {
                 if (!hasForwardedText) observer.onFirstToken(generation, startedAt.elapsedNow())
                 hasForwardedText = true
-                quarantine.recordAnswer()
+                attempts.current?.let { quarantine.recordAnswer(it.target) }
                 writer.forward(step.text)
             }
             is StreamStep.Complete -> {
-                quarantine.recordAnswer()
+                attempts.current?.let { quarantine.recordAnswer(it.target) }
                 writer.complete(stream.text, step.reason, Usage(promptTokens, cachedTokens, stream.offset))
                 end(RelayEnd.COMPLETE, Execution.RAN)
             }
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/QuarantineEnforcer.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/QuarantineEnforcer.kt
@@ -5,8 +5,10 @@
 import org.celerywalk.gateway.FleetState
 import org.celerywalk.gateway.endpoints.EndpointClient
 import org.celerywalk.platform.wire.CallerRequest
+import org.celerywalk.quarantine.CrashAges
 import org.celerywalk.quarantine.QuarantineDecision
 import org.celerywalk.routing.ResponsibleInstance
+import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -31,10 +33,11 @@
             if (request.model == null) emptyList() else request.promptParts.dropLast(1).map { it.id }
         private var isAdmitted = false
         private var isOnTrial = false
-        private var isAnswerRecorded = false
+        private var sentAt: ComparableTimeMark = state.timeSource.markNow()
+        private var answeredAt: ComparableTimeMark? = null
 
         /** True if a part is in quarantine now, also if the request was sent before. May be called by any thread. */
-        val isQuarantined: Boolean get() = state.quarantine.quarantinedParts.keys.any(parts::contains)
+        val isQuarantined: Boolean get() = state.quarantine.isAnyQuarantined(parts)
 
         /** Returns the rejection of the request if a part is in quarantine, or null if the request may be sent. */
         fun reject(): AttemptOutcome.Rejected? = if (isAdmitted) null else decide()
@@ -57,30 +60,37 @@
             }
         }
 
+        /** Records that the request is about to be sent to an endpoint, on a new connection. */
+        fun beginSend() {
+            sentAt = state.timeSource.markNow()
+            answeredAt = null
+        }
+
         /**
-         * Records that an endpoint began to answer the request. Further calls have no effect, since a long answer says
-         * nothing about parts that became harmful after it began.
+         * Records that [endpoint] began to answer the request. Further calls for a send have no effect, since a long
+         * answer says nothing about parts that became harmful after it began.
          */
-        fun recordAnswer() {
-            if (isAnswerRecorded) return
-            isAnswerRecorded = true
-            state.quarantine.recordAnswer(parts).forEach {
+        fun recordAnswer(endpoint: RegisteredEndpoint) {
+            if (answeredAt != null) return
+            answeredAt = state.timeSource.markNow()
+            state.quarantine.recordAnswer(endpoint.quarantineName, parts, sentAt.elapsedNow()).forEach {
                 log.write("part_cleared", "id" to request.attemptId, "part" to it)
             }
         }
 
         /**
-         * Records the [outcome] of a send to [endpoint].
+         * Records the [outcome] of a send to [endpoint]. If the endpoint has crashed, that counts against the request's
+         * parts, unless it had been answering the request for some time. Blocks while the endpoint is checked.
          *
-         * If [isCrashPossible], that is, the request was not cancelled and no endpoint began to answer it, a crash of
-         * the endpoint counts against the request's parts. Blocks while the endpoint is checked.
+         * @param isCancelled true if the request was cancelled, which says nothing about the endpoint.
          */
-        fun recordOutcome(endpoint: RegisteredEndpoint, outcome: AttemptOutcome, isCrashPossible: Boolean) {
+        fun recordOutcome(endpoint: RegisteredEndpoint, outcome: AttemptOutcome, isCancelled: Boolean) {
             if (!outcome.mayHaveExecuted) return
             isAdmitted = false
             isOnTrial = false
-            val isSuspect = outcome.isUnreachable && isCrashPossible && parts.isNotEmpty()
-            if (isSuspect && hasCrashed(endpoint)) recordCrash(endpoint)
+            val lostAt = state.timeSource.markNow()
+            val isSuspect = parts.isNotEmpty() && !isCancelled && answeredAt == null
+            if (isSuspect && outcome.isUnreachable && isCrashed(endpoint)) recordCrash(endpoint, lostAt)
         }
 
         /** Allows another trial if no endpoint has received this one; to be called after the last send. */
@@ -88,19 +98,30 @@
             if (isOnTrial) state.quarantine.withdrawTrial(parts)
         }
 
-        private fun recordCrash(endpoint: RegisteredEndpoint) {
+        private fun recordCrash(endpoint: RegisteredEndpoint, lostAt: ComparableTimeMark) {
+            // The parts of an answer that has just begun are known from recordAnswer.
+            val accusedParts = if (answeredAt == null) parts else emptyList()
+            val ages = CrashAges(sinceLoss = lostAt.elapsedNow(), sinceAlive = sentAt.elapsedNow())
             log.write(
                 "endpoint_crashed",
                 "id" to request.attemptId,
                 "endpoint" to endpoint.id,
                 "parts" to parts.joinToString(","),
+                "answering" to true.takeIf { answeredAt != null },
+                "alive_ms" to ages.sinceAlive.inWholeMilliseconds,
+                "lost_ms" to ages.sinceLoss.inWholeMilliseconds,
             )
-            // An endpoint may start again under the same id.
-            val endpointStart = listOfNotNull(endpoint.id, endpoint.startedAtMillis).joinToString("/")
-            state.quarantine.recordCrash(endpointStart, parts).forEach { log.write("part_quarantined", "part" to it) }
+            state.quarantine.recordCrash(endpoint.quarantineName, accusedParts, ages)
+                .forEach { log.write("part_quarantined", "part" to it) }
         }
     }
 
+    private fun isCrashed(endpoint: RegisteredEndpoint): Boolean =
+        state.quarantine.isCrashKnown(endpoint.quarantineName) || hasCrashed(endpoint)
+
+    // An endpoint may start again under the same id.
+    private val RegisteredEndpoint.quarantineName: String get() = listOfNotNull(id, startedAtMillis).joinToString("/")
+
     // A planned end, a lost machine and a cut or reset connection don't count: the endpoint then drains, has left the
     // registry, is silent, or still accepts connections.
     private fun hasCrashed(endpoint: RegisteredEndpoint): Boolean {
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/RequestForwarder.kt
@@ -138,6 +138,7 @@
         // The budget is checked first, since it may be spent for long and a placement takes more time to plan.
         val stall = StallLimit(stallTime) { budget.hasRetry && canGoOnElsewhere(sentIds) && budget.tryRetry() }
         val tryTakeRelocation = { budget.hasOptionalRetry && canGoOnElsewhere(sentIds) && budget.tryOptionalRetry() }
+        quarantine.beginSend()
         val outcome = sender.send(
             endpoint,
             forwarded,
@@ -145,10 +146,9 @@
             tryTakeRelocation.takeIf { isStream && canRunAgain },
         ) {
             onBodyRead()
-            if (relay.hasAnswerBegun) quarantine.recordAnswer()
+            if (relay.hasAnswerBegun) quarantine.recordAnswer(endpoint)
         }
-        val isCrashPossible = exchange.cancelReason == null && !relay.hasAnswerBegun
-        quarantine.recordOutcome(endpoint, outcome, isCrashPossible)
+        quarantine.recordOutcome(endpoint, outcome, isCancelled = exchange.cancelReason != null)
         retries.record(outcome)
         if (outcome is AttemptOutcome.ServerError) lastServerError = outcome.response
         return outcome
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/store/QuarantineSync.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/store/QuarantineSync.kt
@@ -7,6 +7,7 @@
 import org.celerywalk.platform.wire.PlatformTable
 import org.celerywalk.platform.wire.RowWrite
 import org.celerywalk.platform.wire.StoredRow
+import org.celerywalk.quarantine.CrashAges
 import org.celerywalk.quarantine.PartEvidence
 import org.celerywalk.routing.ResponsibleInstance
 import kotlin.time.ComparableTimeMark
@@ -71,7 +72,7 @@
         val clock = stored.clock ?: readRows(stored) ?: return
         val quarantined = state.quarantine.quarantinedParts
         knownParts.add(quarantined.keys)
-        quarantined.filter { (part, evidence) -> stored.crashes[part] != evidence.crashAges.keys && isWriter(part) }
+        quarantined.filter { (part, evidence) -> stored.crashes[part] != evidence.crashes.keys && isWriter(part) }
             .forEach { (part, evidence) -> write(part, evidence, clock.nowMillis(), stored) }
         stored.crashes.keys.filter { it !in quarantined && isWriter(it) }.forEach { remove(it, stored) }
     }
@@ -83,7 +84,7 @@
         },
         { reading ->
             val evidence = reading.rows.mapNotNull { row -> decode(row, reading.storeClockMillis) }.toMap()
-            evidence.forEach { (part, partEvidence) -> stored.crashes[part] = partEvidence.crashAges.keys }
+            evidence.forEach { (part, partEvidence) -> stored.crashes[part] = partEvidence.crashes.keys }
             merge(evidence.filterKeys { it !in knownParts })
             StoreClock(reading.storeClockMillis, state.timeSource.markNow()).also { stored.clock = it }
         },
@@ -95,12 +96,12 @@
     }
 
     private fun write(part: String, evidence: PartEvidence, nowMillis: Long, stored: StoredParts) {
-        val value = evidence.crashAges
-            .map { (endpointStart, age) -> "$endpointStart ${nowMillis - age.inWholeMilliseconds}" }
+        val value = evidence.crashes
+            .map { (endpointStart, ages) -> "$endpointStart ${nowMillis - ages.sinceLoss.inWholeMilliseconds}" }
             .joinToString("\n").toByteArray()
         table.write(RowWrite(TABLE, part, value, null), CALL_TIMEOUT).fold(
             { logFailure("quarantine_unwritten", it) },
-            { stored.crashes[part] = evidence.crashAges.keys },
+            { stored.crashes[part] = evidence.crashes.keys },
         )
     }
 
@@ -115,6 +116,7 @@
         log.write(event, "step" to error.step, "peer" to error.peer, "cause" to error.message)
 
     // Each line of a row holds the start of an endpoint and the time of its crash in milliseconds of the store's clock.
+    // The crashes of a row are separate.
     private fun decode(row: StoredRow, nowMillis: Long): Pair<String, PartEvidence>? {
         val crashes = row.value.decodeToString().lines().map { line ->
             line.substringBeforeLast(' ') to line.substringAfterLast(' ').toLongOrNull()
@@ -123,10 +125,10 @@
             log.writeUnreadable(row)
             return null
         }
-        val ages = crashes.associate { (endpointStart, millis) ->
-            endpointStart to (nowMillis - checkNotNull(millis)).coerceAtLeast(0).milliseconds
+        val crashAges = crashes.associate { (endpointStart, millis) ->
+            endpointStart to CrashAges((nowMillis - checkNotNull(millis)).coerceAtLeast(0).milliseconds)
         }
-        return row.key to PartEvidence(ages)
+        return row.key to PartEvidence(crashAges)
     }
 
     private fun isWriter(part: String) =
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/DeadlyPromptPartTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/DeadlyPromptPartTest.kt
@@ -3,6 +3,9 @@
 import okhttp3.Response
 import org.junit.jupiter.api.AfterEach
 import java.net.Socket
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertNotNull
@@ -13,6 +16,7 @@
  */
 class DeadlyPromptPartTest {
     private val fleet = TestFleet()
+    private val held = CountDownLatch(1)
 
     @AfterEach
     fun close() = fleet.close()
@@ -43,13 +47,30 @@
         start()
         val parts = """"dead":{"crashes":{"e-1":900,"e-2":100}},"51":{"crashes":{"e-3":900,"e-4":100}}"""
         fleet.sendAsPeer("""{"name":"p","number":1,"suspects":{$parts}}""")
-        // Part 51 crashes no endpoint and shows that the message has arrived.
-        awaitUntil { status("stream", "$FIRST,51:5,a:1") == 503 }
+        fleet.gateway.awaitQuarantinedParts(2)
+        // Part 51 crashes no endpoint.
+        assertEquals(503, status("stream", "$FIRST,51:5,a:1"))
         assertEquals(503, status("stream", "$FIRST,dead:5,a:1"))
         assertEquals(200, status("stream", "$FIRST,e:5,a:1"))
         assertEquals(0, crashedCount())
     }
 
+    // Guards against a common part that is quarantined because the service went down (review case 6).
+    @Test
+    fun `endpoints that crash at once under requests with a common part don't quarantine it`() {
+        start()
+        val calls = List(ENDPOINTS * 2) { i -> thread { runCatching { status("stream", "$FIRST,be1d:5,a$i:1") } } }
+        awaitUntil { fleet.endpoints.all { it.hasPrompts() } }
+        // The gateway finds the port closed before it notices that a connection is lost.
+        fleet.endpoints.forEach { it.close() }
+        held.countDown()
+        calls.forEach { it.join() }
+        fleet.add { request, socket -> answer(request, socket) }
+        awaitUntil { status("stream", "$FIRST,be1d:5,c:1") == OK }
+    }
+
+    private fun EndpointStandIn.hasPrompts() = receivedRequests.any { "x-prompt-prefix" in it.fields }
+
     @Test
     fun `an endpoint that resets connections but goes on to serve has not crashed`() {
         start()
@@ -61,6 +82,11 @@
         // The gateway checks with a connection without a request whether an endpoint still listens.
         val prompt = request.fields["x-prompt-prefix"] ?: return
         when {
+            "be1d" in prompt -> {
+                held.await(10, TimeUnit.SECONDS)
+                val isClosed = fleet.endpoints.first { it.address.endsWith(":${socket.localPort}") }.isClosed
+                if (!isClosed) EndpointStandIn.stream("id: 1\ndata: a\n\n", isComplete = true)(request, socket)
+            }
             "dead" in prompt -> fleet.endpoints.first { it.address.endsWith(":${socket.localPort}") }.close()
             "bad" in prompt -> socket.setSoLinger(true, 0)
             else -> EndpointStandIn.stream("id: 1\ndata: a\n\n", isComplete = true)(request, socket)
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/RelocatedStreamTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/RelocatedStreamTest.kt
@@ -108,8 +108,9 @@
     fun `a stream whose prompt part is in quarantine stays at its endpoint`() {
         start(refusedSends = 0, refusal = "")
         val received = callInBackground { withPrompt("$PART:10,b:1").header("X-Token-Usage", "11,$OUTPUT_TOKENS") }
-        fleet.sendAsPeer("""{"name":"p","number":1,"suspects":{"$PART":{"crashes":{"e-1":900,"e-2":100}}}}""")
-        awaitUntil { statusOfProbe { withPrompt("$PART:10,c:1") } == UNAVAILABLE }
+        fleet.sendAsPeer("""{"name":"p","number":1,"suspects":{"$PART":{"crashes":{"e-1":0,"e-2":0}}}}""")
+        fleet.gateway.awaitQuarantinedParts(1)
+        assertEquals(UNAVAILABLE, statusOfProbe { withPrompt("$PART:10,c:1") })
         fleet.sendAsPeer("""{"name":"p","number":2,"changing":["i-0"]}""")
         fleet.sendAsPeer("""{"name":"p","number":3,"leaving":[["i-2"]]}""")
         awaitUntil { statusOfProbe() == UNAVAILABLE }
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/TestGateway.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/TestGateway.kt
@@ -51,6 +51,15 @@
     /** Base URL for callers, without a slash at its end. */
     val url = "http://127.0.0.1:${ports[0]}"
 
+    /** Waits until the gateway has [count] prompt parts in quarantine. */
+    fun awaitQuarantinedParts(count: Int) {
+        val request = Request.Builder().url("http://127.0.0.1:${ports[2]}/metrics").build()
+        awaitUntil {
+            val metrics = client.newCall(request).execute().use { it.body.string() }
+            metrics.lineSequence().any { it == "celerywalk_quarantine_parts $count.0" }
+        }
+    }
+
     /** Starts the gateway and returns when it is ready. */
     fun start() {
         val base = testSettings()
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/store/QuarantineSyncTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/store/QuarantineSyncTest.kt
@@ -44,7 +44,7 @@
         val quarantine = start()
         quarantineIn(quarantine, "dead")
         awaitUntil { store.keys("quarantine") == setOf("dead") }
-        quarantine.recordAnswer(listOf("dead"))
+        quarantine.recordAnswer("sound-endpoint", listOf("dead"))
         awaitUntil { store.keys("quarantine").isEmpty() }
     }
 
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/store/RestoredQuarantineTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/store/RestoredQuarantineTest.kt
@@ -38,7 +38,7 @@
     fun `a part that was cleared does not come back from the older copy`() {
         storeQuarantined()
         val copy = store.snapshot()
-        quarantine.recordAnswer(listOf("dead"))
+        quarantine.recordAnswer("sound-endpoint", listOf("dead"))
         awaitUntil { store.keys("quarantine").isEmpty() }
         store.restore(copy)
         awaitUntil {
--- a/library/src/main/kotlin/org/celerywalk/quarantine/SuspectParts.kt
+++ b/library/src/main/kotlin/org/celerywalk/quarantine/SuspectParts.kt
@@ -10,6 +10,8 @@
 
     fun getOrAdd(part: String): SuspectPart = suspects.getOrPut(part) { SuspectPart() }
 
+    fun isQuarantined(part: String): Boolean = suspects[part]?.isQuarantined ?: false
+
     /** Returns true if evidence about [part] may be kept; a name of any length would take any memory. */
     fun canHold(part: String): Boolean = part.length <= MAX_NAME_CHARS
 
@@ -19,6 +21,18 @@
     fun anyQuarantined(predicate: (String, SuspectPart) -> Boolean): Boolean =
         suspects.any { (part, suspect) -> suspect.isQuarantined && predicate(part, suspect) }
 
+    /**
+     * Returns false if the endpoints may crash under [part] for a reason of their own: there were crashes, and none of
+     * the other parts that were lost with it has been answered since.
+     */
+    fun isServingWithout(part: String): Boolean {
+        val suspect = suspects[part]
+        val since = suspect?.verdict?.firstCrashAt ?: return false
+        val lostWithIt = suspects.filter { (other, evidence) -> other != part && evidence.wasLostWith(suspect) }.values
+        return lostWithIt.isEmpty() ||
+            lostWithIt.any { other -> other.verdict.answeredAt?.let { it > since } ?: false }
+    }
+
     /** Returns at most [count] parts, those with most crashes first and among them those with the latest ones. */
     fun mostSuspect(count: Int): Map<String, SuspectPart> =
         suspects.toList().sortedWith(MOST_SUSPECT_FIRST).take(count).toMap()
@@ -30,7 +44,8 @@
 
     /** Removes the parts whose evidence is out of date, and the least suspect ones beyond the maximum number. */
     fun prune() {
-        suspects.values.removeIf { it.isExpired() }
+        suspects.values.forEach { it.settleAnswers() }
+        suspects.values.removeIf { it.isExpired }
         if (suspects.size > MAX_PARTS) suspects.keys.retainAll(mostSuspect(MAX_PARTS).keys)
     }
 
--- a/library/src/test/kotlin/org/celerywalk/quarantine/PromptPartQuarantineTest.kt
+++ b/library/src/test/kotlin/org/celerywalk/quarantine/PromptPartQuarantineTest.kt
@@ -18,7 +18,7 @@
     fun `a part under which two endpoints crashed is quarantined until its backoff has passed`() {
         quarantine.recordCrash("e-1", listOf("shared", "deadly"))
         assertEquals(QuarantineDecision.Admitted, decide("shared", "deadly"))
-        quarantine.recordAnswer(listOf("shared"))
+        quarantine.recordAnswer("sound-endpoint", listOf("shared"))
         assertEquals(listOf("deadly"), quarantine.recordCrash("e-2", listOf("shared", "deadly")))
         assertEquals(QuarantineDecision.Refused("deadly", 5.seconds), decide("shared", "deadly"))
         assertEquals(QuarantineDecision.Admitted, decide("shared", "other"))
@@ -71,7 +71,7 @@
         val accusation = accuser.evidence()
         listOf(quarantine, peer).forEach { it.merge(accusation) }
         clock += 1.seconds
-        assertEquals(listOf("sound"), peer.recordAnswer(listOf("sound")))
+        assertEquals(listOf("sound"), peer.recordAnswer("sound-endpoint", listOf("sound")))
         quarantine.merge(peer.evidence())
         assertEquals(QuarantineDecision.Admitted, decide("sound"))
         quarantine.merge(accusation)
@@ -112,7 +112,7 @@
         listOf("e-1", "e-2", "e-3").forEach { quarantine.recordCrash(it, listOf("deadly")) }
         clock += 20.seconds
         assertIs<QuarantineDecision.Trial>(decide("deadly"))
-        assertEquals(listOf("deadly"), quarantine.recordAnswer(listOf("deadly")))
+        assertEquals(listOf("deadly"), quarantine.recordAnswer("sound-endpoint", listOf("deadly")))
         repeat(2) { assertEquals(QuarantineDecision.Admitted, decide("deadly")) }
         assertEquals(emptySet(), quarantine.quarantinedParts.keys)
     }
@@ -123,7 +123,7 @@
         assertIs<QuarantineDecision.Refused>(quarantine.check(listOf("first", "deadly")) { false })
         assertEquals(QuarantineDecision.Trial("first"), quarantine.check(listOf("first", "sound")) { false })
         assertIs<QuarantineDecision.Refused>(quarantine.check(listOf("first", "sound")) { false })
-        quarantine.recordAnswer(listOf("first", "sound"))
+        quarantine.recordAnswer("sound-endpoint", listOf("first", "sound"))
         assertEquals(QuarantineDecision.Admitted, quarantine.check(listOf("first", "sound")) { false })
         assertIs<QuarantineDecision.Refused>(quarantine.check(listOf("first", "deadly")) { false })
     }
