Count crashes right after the beginning of an answer (LOST)

Cause: the beginning of an answer was taken for its success, and a crash after it was not recorded, on a resumed stream not even one of a later endpoint. Ruled out: the check for a crash (with a crash before the first event the part is quarantined).

Tests: "a part that crashes endpoints after the first event" fails on (the caller gets a further answer that is broken off, in place of 503). AgentDaemonTest demanded that a crash after the first token is not reported; it now demands the report, since the engine has begun to write then.

--- a/agent/src/main/kotlin/org/celerywalk/agent/Generation.kt
+++ b/agent/src/main/kotlin/org/celerywalk/agent/Generation.kt
@@ -115,9 +115,7 @@
             error.isNotExecuted -> Execution.NOT_RUN
             else -> Execution.UNKNOWN
         }
-        // Only a crash before the first token says something about the prompt.
-        val hasTokens = nextTokenOffset > request.resumeOffset
-        val mayBeCrash = !error.isNotExecuted && !hasTokens && !isPlannedEnd()
+        val mayBeCrash = !error.isNotExecuted && !isPlannedEnd()
         val crashCheck =
             if (mayBeCrash) replica.checkCrash(statusAtSend) else CompletableFuture.completedFuture(false)
         crashCheck.thenAccept { hasCrashed ->
--- a/agent/src/test/kotlin/org/celerywalk/agent/AgentDaemonTest.kt
+++ b/agent/src/test/kotlin/org/celerywalk/agent/AgentDaemonTest.kt
@@ -116,8 +116,9 @@
         }
     }
 
+    // Guards against a prompt that crashes engines after their first token and is never quarantined (review case 8).
     @Test
-    fun `an engine that ends after the first token is not reported as a crash`() {
+    fun `an engine that ends after the first token is reported as a crash of a generation that has run`() {
         lateinit var engine: FakeEngine
         engine = FakeEngine { request, listener ->
             listener.onStarted("e1", request.weights, promptTokens = 2, cachedTokens = 0)
@@ -127,7 +128,7 @@
         }
         val agent = startAgent(engine)
         val refusal = agent.generate(agent.generation()).asSequence().last().refused
-        assertEquals("engine_failed" to Execution.RAN, refusal.code to refusal.execution)
+        assertEquals("engine_crashed" to Execution.RAN, refusal.code to refusal.execution)
     }
 
     @Test
--- a/entry/src/main/kotlin/org/celerywalk/entry/chat/GenerationQuarantine.kt
+++ b/entry/src/main/kotlin/org/celerywalk/entry/chat/GenerationQuarantine.kt
@@ -50,7 +50,7 @@
     /** Records that the attempt at [target] ended with [event]. */
     fun recordRefusal(target: SelectedReplica, event: StreamEvent.Refused) {
         if (event.execution == Execution.NOT_RUN) withdrawTrial()
-        if (event.code != StreamEvent.Refused.ENGINE_CRASHED || isAnswerRecorded) return
+        if (event.code != StreamEvent.Refused.ENGINE_CRASHED) return
         // The parts of an answer that has just begun are known from recordAnswer.
         val accusedParts = if (isAnswerRecorded) emptyList() else parts
         // The agent would report an engine that it can't reach as one that has not run the request.
--- a/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/QuarantineEnforcer.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/QuarantineEnforcer.kt
@@ -6,6 +6,7 @@
 import org.celerywalk.gateway.endpoints.EndpointClient
 import org.celerywalk.platform.wire.CallerRequest
 import org.celerywalk.quarantine.CrashAges
+import org.celerywalk.quarantine.PromptPartQuarantine
 import org.celerywalk.quarantine.QuarantineDecision
 import org.celerywalk.routing.ResponsibleInstance
 import kotlin.time.ComparableTimeMark
@@ -89,7 +90,9 @@
             isAdmitted = false
             isOnTrial = false
             val lostAt = state.timeSource.markNow()
-            val isSuspect = parts.isNotEmpty() && !isCancelled && answeredAt == null
+            val hasOutlivedAnswer =
+                answeredAt?.let { lostAt - it >= PromptPartQuarantine.ANSWER_PROOF_TIME } ?: false
+            val isSuspect = parts.isNotEmpty() && !isCancelled && !hasOutlivedAnswer
             if (isSuspect && outcome.isUnreachable && isCrashed(endpoint)) recordCrash(endpoint, lostAt)
         }
 
--- a/gateway/src/test/kotlin/org/celerywalk/gateway/DeadlyPromptPartTest.kt
+++ b/gateway/src/test/kotlin/org/celerywalk/gateway/DeadlyPromptPartTest.kt
@@ -55,6 +55,16 @@
         assertEquals(0, crashedCount())
     }
 
+    // Guards against a harmful part that the beginning of each answer clears (review case 8).
+    @Test
+    fun `a part that crashes endpoints after the first event of an answer is quarantined`() {
+        start()
+        repeat(2) { call("stream", "$FIRST,1adead:5,a$it:1").use { runCatching { it.body.string() } } }
+        assertEquals(503, status("stream", "$FIRST,1adead:5,b:1"))
+        assertEquals(200, status("stream", "$FIRST,e:5,c:1"))
+        assertEquals(2, crashedCount())
+    }
+
     // Guards against a common part that is quarantined because the service went down (review case 6).
     @Test
     fun `endpoints that crash at once under requests with a common part don't quarantine it`() {
@@ -82,6 +92,10 @@
         // The gateway checks with a connection without a request whether an endpoint still listens.
         val prompt = request.fields["x-prompt-prefix"] ?: return
         when {
+            "1adead" in prompt -> {
+                EndpointStandIn.stream("id: 1\ndata: a\n\n", isComplete = false)(request, socket)
+                fleet.endpoints.first { it.address.endsWith(":${socket.localPort}") }.close()
+            }
             "be1d" in prompt -> {
                 held.await(10, TimeUnit.SECONDS)
                 val isClosed = fleet.endpoints.first { it.address.endsWith(":${socket.localPort}") }.isClosed
