Name the common cache scope after the accounts that it excludes (WALL)

Cause: the common scope stayed the same whoever was isolated. Ruled out: a late configuration (the requests come 3 s after the acknowledgement, and the isolated account has its own scope by then), a fetch (one replica in the record).

Change: the scope of accounts that are not isolated contains a hash of the isolated ones. It follows from the configuration alone, so whoever uses a scope belongs to it by that configuration: also while versions differ, after the store comes back older, when an account turns isolated and back, and on fetches, which name the same scope. Entry and agent name pieces and the engine's scope by account and share nothing.

Cost: nothing while the set of isolated accounts stays; it is empty in most deployments, whose scope keeps its name. A change back finds the old parts.

--- a/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/GenerationPlacer.kt
+++ b/gateway/src/main/kotlin/org/celerywalk/gateway/forwarding/GenerationPlacer.kt
@@ -150,7 +150,7 @@
             parts = caller.promptParts,
             promptTokens = maxOf(caller.promptTokens, caller.promptParts.sumOf { it.tokens }),
             outputTokens = caller.outputTokens,
-            isolatedAccount = admitted.account?.takeIf { it.isIsolated }?.name,
+            cacheGroup = admitted.activeConfiguration.configuration.cacheGroupOf(admitted.account?.name),
             firstTokenTimeLeft = (admitted.route.latencyTarget - exchange.elapsed())
                 .coerceAtLeast(MIN_FIRST_TOKEN_TARGET),
             rank = if (state.settings.admitsByLoad) Rank.ofPriority(admitted.rankAt(service)) else Rank.MOST_URGENT,
--- a/library/src/main/kotlin/org/celerywalk/cache/PieceNames.kt
+++ b/library/src/main/kotlin/org/celerywalk/cache/PieceNames.kt
@@ -14,7 +14,7 @@
  */
 public class PieceNames(clientAccount: String, model: String, weights: String, pieceTokens: Int) {
     private val pieceBytes = pieceTokens * BYTES_PER_TOKEN
-    private val seed = seed(listOf(clientAccount, model, weights))
+    private val seed = hashOfTexts(listOf(clientAccount, model, weights))
 
     init {
         require(pieceTokens > 0) { "given pieces of $pieceTokens tokens, expected at least 1" }
@@ -42,20 +42,9 @@
         return ByteBuffer.wrap(digest.digest()).getLong()
     }
 
-    // The length prefixes make ("ab", "c") and ("a", "bc") differ.
-    private fun seed(parts: List<String>): Long {
-        val digest = MessageDigest.getInstance(HASH_ALGORITHM)
-        parts.map { it.toByteArray() }.forEach { part ->
-            digest.update(ByteBuffer.allocate(Int.SIZE_BYTES).putInt(part.size).flip())
-            digest.update(part)
-        }
-        return ByteBuffer.wrap(digest.digest()).getLong()
-    }
-
     public companion object {
         /** Bytes of UTF-8 that count as one token. */
         public const val BYTES_PER_TOKEN: Int = 4
-        private const val HASH_ALGORITHM = "SHA-256"
 
         /** Returns the length of [text] in tokens, rounded up. */
         public fun tokens(text: String): Int = (text.toByteArray().size + BYTES_PER_TOKEN - 1) / BYTES_PER_TOKEN
--- a/library/src/main/kotlin/org/celerywalk/fleet/FleetConfiguration.kt
+++ b/library/src/main/kotlin/org/celerywalk/fleet/FleetConfiguration.kt
@@ -1,5 +1,6 @@
 package org.celerywalk.fleet
 
+import org.celerywalk.cache.CacheGroup
 import org.celerywalk.route.Route
 
 /**
@@ -14,7 +15,16 @@
     val services: Map<String, ServiceDefinition>,
     val accounts: List<AccountDefinition>?,
     val limits: CallerLimits,
-)
+) {
+    private val isolatedAccounts by lazy {
+        accounts.orEmpty().filter { it.isIsolated }.mapTo(HashSet()) { it.name }
+    }
+    private val commonCacheGroup by lazy { CacheGroup.without(isolatedAccounts) }
+
+    /** Returns the accounts that [account] shares KV cache with; null stands for a request without an account. */
+    public fun cacheGroupOf(account: String?): CacheGroup =
+        if (account != null && account in isolatedAccounts) CacheGroup.only(account) else commonCacheGroup
+}
 
 /** Size limits of a caller's request: headers and body, in bytes. */
 public data class CallerLimits(val maxHeaderBytes: Int, val maxBodyBytes: Int)
--- a/library/src/main/kotlin/org/celerywalk/routing/Generation.kt
+++ b/library/src/main/kotlin/org/celerywalk/routing/Generation.kt
@@ -1,5 +1,6 @@
 package org.celerywalk.routing
 
+import org.celerywalk.cache.CacheGroup
 import org.celerywalk.cache.CacheScope
 import org.celerywalk.cache.PromptPart
 import org.celerywalk.endpoint.RegisteredEndpoint
@@ -10,7 +11,7 @@
  *
  * @property parts parts of the prompt in order; the last one is private to the request.
  * @property outputTokens expected number of tokens of the answer.
- * @property isolatedAccount client account whose cache entries are not shared with other accounts, or null.
+ * @property cacheGroup client accounts that the generation may share KV cache with.
  * @property firstTokenTimeLeft time left to reach the target for the time to first token.
  * @property rank urgency among the generations of a replica; see [Rank].
  * @property isResumed true if the caller has received part of the answer and waits for its continuation.
@@ -20,7 +21,7 @@
     val parts: List<PromptPart>,
     val promptTokens: Int,
     val outputTokens: Int,
-    val isolatedAccount: String?,
+    val cacheGroup: CacheGroup,
     val firstTokenTimeLeft: Duration = Duration.INFINITE,
     val rank: Int = Rank.MOST_URGENT,
     val isResumed: Boolean = false,
--- a/library/src/main/kotlin/org/celerywalk/routing/ModelReplicaChooser.kt
+++ b/library/src/main/kotlin/org/celerywalk/routing/ModelReplicaChooser.kt
@@ -134,7 +134,7 @@
         replicas: List<RegisteredEndpoint>,
         private val context: EngineContext,
     ) {
-        val scope = CacheScope.of(generation.model, version, generation.isolatedAccount)
+        val scope = CacheScope.of(generation.model, version, generation.cacheGroup)
         private val sharedTokens = generation.sharedParts.sumOf { it.tokens }
         private val now = timeSource.markNow()
         private val prefixes = locations.cachedPrefixes(
--- a/library/src/test/kotlin/org/celerywalk/cache/PartLocationsTest.kt
+++ b/library/src/test/kotlin/org/celerywalk/cache/PartLocationsTest.kt
@@ -9,7 +9,7 @@
 class PartLocationsTest {
     private val time = TestTimeSource()
     private val locations = PartLocations(time, sentPartTtl = 2.seconds)
-    private val scope = CacheScope.of("m", 1, null)
+    private val scope = CacheScope.of("m", 1, CacheGroup.EVERYONE)
     private val parts = listOf(PromptPart("a", 800), PromptPart("b", 410), PromptPart("c", 250))
 
     @Test
@@ -46,7 +46,12 @@
     @Test
     fun `scopes of other weights, of isolated accounts and of other models share no parts`() {
         locations.recordSent("r", scope, parts)
-        listOf(CacheScope.of("m", 2, null), CacheScope.of("m", 1, "x"), CacheScope.of("n", 1, null)).forEach {
+        listOf(
+            CacheScope.of("m", 2, CacheGroup.EVERYONE),
+            CacheScope.of("m", 1, CacheGroup.only("x")),
+            CacheScope.of("m", 1, CacheGroup.without(setOf("x"))),
+            CacheScope.of("n", 1, CacheGroup.EVERYONE),
+        ).forEach {
             assertEquals(0, locations.prefixTokens("r", it, parts))
         }
     }
--- a/library/src/test/kotlin/org/celerywalk/routing/ModelReplicaChooserTest.kt
+++ b/library/src/test/kotlin/org/celerywalk/routing/ModelReplicaChooserTest.kt
@@ -1,5 +1,6 @@
 package org.celerywalk.routing
 
+import org.celerywalk.cache.CacheGroup
 import org.celerywalk.cache.CacheScope
 import org.celerywalk.cache.PartLocations
 import org.celerywalk.cache.PromptPart
@@ -30,13 +31,13 @@
     private val chooser = ModelReplicaChooser(time, loads, locations, "dc-1", prefillTokensPerMilli = 45.0)
     private val weights = WeightHistory(time).apply { recordPublication(1) }
     private val replicas = List(4) { replica("r$it", version = 1) }
-    private val scope = CacheScope.of("m", 1, null)
+    private val scope = CacheScope.of("m", 1, CacheGroup.EVERYONE)
     private val generation = Generation(
         "m",
         listOf(PromptPart("a", 2_520), PromptPart("b", 3_780), PromptPart("own", 2_890)),
         promptTokens = 9_190,
         outputTokens = 20,
-        isolatedAccount = null,
+        cacheGroup = CacheGroup.EVERYONE,
     )
 
     @Test
@@ -103,7 +104,8 @@
     @Test
     fun `isolated accounts never use cached parts of other accounts`() {
         addCachedParts("r2", scope)
-        val placement = chooser.choose(generation.copy(isolatedAccount = "x"), replicas, context(), weights, 6.seconds)
+        val isolated = generation.copy(cacheGroup = CacheGroup.only("x"))
+        val placement = chooser.choose(isolated, replicas, context(), weights, 6.seconds)
         assertEquals(0, placement?.cachedTokens)
         assertNull(placement?.fetchAddress)
     }
--- a/library/src/test/kotlin/org/celerywalk/routing/PlacementCostTest.kt
+++ b/library/src/test/kotlin/org/celerywalk/routing/PlacementCostTest.kt
@@ -1,5 +1,6 @@
 package org.celerywalk.routing
 
+import org.celerywalk.cache.CacheGroup
 import org.celerywalk.cache.CacheScope
 import org.celerywalk.cache.PartLocations
 import org.celerywalk.cache.PromptPart
@@ -47,8 +48,9 @@
         val work = replicas.associate { it.id to RankedWork.of(EndpointWork(calls = 1)) }
         repeat(peerCount) { loads.recordPeerReport("peer-$it", work, isComplete = true) }
         val parts = listOf(PromptPart("a", 2_520), PromptPart("b", 3_780), PromptPart("own", 2_890))
-        replicas.forEach { locations.recordSent(it.id, CacheScope.of("m", 2, null), parts) }
-        val generation = Generation("m", parts, promptTokens = 9_190, outputTokens = 20, isolatedAccount = null)
+        replicas.forEach { locations.recordSent(it.id, CacheScope.of("m", 2, CacheGroup.EVERYONE), parts) }
+        val generation =
+            Generation("m", parts, promptTokens = 9_190, outputTokens = 20, cacheGroup = CacheGroup.EVERYONE)
         val engine = EngineDefinition(64, 116_000, 327_680, 550_000.0, listOf("m"))
         val context = EngineContext(engine, CacheStoreDefinition("172.0.0.1:80", "dc-1"))
         val before = clock.readCount
--- a/library/src/test/kotlin/org/celerywalk/routing/RankedPlacementTest.kt
+++ b/library/src/test/kotlin/org/celerywalk/routing/RankedPlacementTest.kt
@@ -1,5 +1,6 @@
 package org.celerywalk.routing
 
+import org.celerywalk.cache.CacheGroup
 import org.celerywalk.cache.PartLocations
 import org.celerywalk.cache.PromptPart
 import org.celerywalk.endpoint.RegisteredEndpoint
@@ -27,7 +28,7 @@
         listOf(PromptPart("q", 800)),
         promptTokens = 800,
         outputTokens = 40,
-        isolatedAccount = null,
+        cacheGroup = CacheGroup.EVERYONE,
         firstTokenTimeLeft = 400.milliseconds,
         rank = 0,
     )
