--- a/review/standin-3/FreezeCase.java
+++ b/review/standin-3/FreezeCase.java
@@ -89,11 +89,11 @@
         store.put("op", "config", CONFIGURATION);
         store.put("op", "version/m", "{\"model\":\"m\",\"version\":1}");
         for (int i = 1; i <= 3; i++) {
-            Replica replica = keep(new Replica("i-app-" + i, false, 6, 24, 21, 800, record));
+            Replica replica = keep(new Replica("i-app-" + i, false, 6, 24, 21, record));
             store.put("servers", "i-app-" + i, replica.entry("rounds-app"));
         }
         for (int i = 1; i <= 4; i++) {
-            Replica replica = keep(new Replica("i-llm-" + i, true, 64, 192, 150, 0, record));
+            Replica replica = keep(new Replica("i-llm-" + i, true, 64, 192, 150, record));
             store.put("servers", "i-llm-" + i, replica.entry("petal-lm"));
         }
         int peerPort = Gateway.freePorts("127.0.0.1", 1)[0];
--- a/review/standin-3/Replica.java
+++ b/review/standin-3/Replica.java
@@ -21,21 +21,18 @@
     private final int slotCount;
     private final int queueLength;
     private final long workMillis;
-    private final int listBytes;
     private final Record record;
     private final ServerSocket server = new ServerSocket(0, 512, InetAddress.getByName("127.0.0.1"));
     private final Semaphore slots;
     private final AtomicInteger inside = new AtomicInteger();
 
-    /** Creates a replica that works for [workMillis] on a request; those for lists are answered with [listBytes]. */
-    Replica(String id, boolean isModel, int slotCount, int queueLength, long workMillis, int listBytes, Record record)
+    Replica(String id, boolean isModel, int slotCount, int queueLength, long workMillis, Record record)
         throws IOException {
         this.id = id;
         this.isModel = isModel;
         this.slotCount = slotCount;
         this.queueLength = queueLength;
         this.workMillis = workMillis;
-        this.listBytes = listBytes;
         this.record = record;
         slots = new Semaphore(slotCount, true);
         daemon(this::accept);
@@ -118,7 +115,7 @@
     private void answer(String attempt, Http.Head request, OutputStream out) throws IOException {
         String fields = "X-Attempt-Id: " + attempt + "\r\nX-Response-Signature: " + id + "." + attempt + "\r\n";
         if (!isModel) {
-            send(out, 200, fields, "x".repeat(request.target().startsWith("/order-check/") ? listBytes : PLAIN_BYTES));
+            send(out, 200, fields, "x".repeat(PLAIN_BYTES));
             return;
         }
         StringBuilder events = new StringBuilder();
