--- a/review/standin-3/FreezeCase.java
+++ b/review/standin-3/FreezeCase.java
@@ -16,7 +16,7 @@
 
     // Calls of the first two kinds that come at once as a gateway freezes. With the sheet's rates they stay under its
     // burst of 1.7 times, taken over 3 s. The three replicas run 18 calls at once and queue 72.
-    private static final int[] OPEN_CALLS = {20, 10};
+    private static final int[] OPEN_CALLS = {20, 9};
     private static final double OPEN_CALLS_LEAD_SECONDS = 0.012;
 
     private static final String BOUNDS = "  key-withdrawal-ms: 5000\n  stop-grace-s: 8\n  retry-ratio: 0.2\n"
